Refuse operations beyond a rate at once, and survive sockets closed by others

Cause: an operation beyond its organisation's rate waited up to 180 ms before its refusal, which held it for over half of its time. An EOFError of a socket that another green thread closed ended the event loop.

--- a/godwitthread/gateway/groups.py
+++ b/godwitthread/gateway/groups.py
@@ -36,6 +36,9 @@
 #: Share of the time of a statement that it may wait for a member before it is refused,
 #: so that the caller has time to come back.
 HOLD_SHARE = 0.45
+#: Share of the objective that an operation may wait for its organisation's rate. The
+#: platform prices a refusal that comes later than that.
+RATE_WAIT_SHARE = 0.2
 #: Least time in which an answer can be had, in ms; with less left nothing is sent.
 LEAST_TIME_MS = 5
 #: A read without an answer for this many service times is sent to another member too.
@@ -208,7 +211,7 @@
                 self._forget((sender, req.session), tx, clean=True)
             return Result(ended=True)
         if req.first:
-            wait_ms = self._admit(req.organisation, int(req.remaining_ms * HOLD_SHARE / 2))
+            wait_ms = self._admit(req.organisation, int(req.objective_ms * RATE_WAIT_SHARE))
             if wait_ms:
                 return failure(
                     ErrorKind.RATE_LIMITED, 'rate of the organisation is used up', wait_ms, True
--- a/godwitthread/gateway/links.py
+++ b/godwitthread/gateway/links.py
@@ -17,7 +17,7 @@
 from godwitthread.core.ownership import SILENT_MS, Reach
 from godwitthread.errors import ErrorKind, ProxyError
 from godwitthread.loop import eventlet
-from godwitthread.sockets import configure, connect
+from godwitthread.sockets import configure, connect, receive
 
 if TYPE_CHECKING:
     import socket
@@ -116,7 +116,7 @@
                 if len(self._buffer) >= end:
                     frame, self._buffer = self._buffer[_LENGTH.size : end], self._buffer[end:]
                     return frame
-            data = self._sock.recv(READ_BYTES)
+            data = receive(self._sock, READ_BYTES)
             if not data:
                 return None
             self._buffer += data
--- a/godwitthread/gateway/view.py
+++ b/godwitthread/gateway/view.py
@@ -144,7 +144,11 @@
             self._log.failure('row_undecodable', row=row.key, reason=cfg.reason)
         elif self.configuration is None or cfg.version > self.configuration.version:
             self.configuration = cfg
-            self._log.event('configuration_adopted', version=cfg.version, revision=row.revision)
+            self._log.event(
+                'configuration_adopted',
+                version=cfg.version,
+                revision=row.revision,
+            )
 
     def _decode_members(self, rows: dict[str, StoredRow]) -> None:
         members: dict[str, Member] = {}
--- a/godwitthread/platform/lines.py
+++ b/godwitthread/platform/lines.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from godwitthread.core.statements import Statement, TxState, Verb
+from godwitthread.sockets import receive
 from godwitthread.types import Position
 
 if TYPE_CHECKING:
@@ -38,7 +39,7 @@
             line = next(self._lines, None)
             if line is not None:
                 return line.rstrip(b'\r').decode('latin-1')
-            data = self._sock.recv(READ_BYTES)
+            data = receive(self._sock, READ_BYTES)
             if not data:
                 return None
             *lines, self._rest = (self._rest + data).split(b'\n')
--- a/godwitthread/sockets.py
+++ b/godwitthread/sockets.py
@@ -43,3 +43,15 @@
     sock.bind(address)
     sock.listen(BACKLOG)
     return sock
+
+
+def receive(sock: socket.socket, size: int) -> bytes:
+    """Return what has arrived, nothing at the end; raise OSError.
+
+    A socket that another green thread closes raises EOFError, which ends the event loop
+    if it is not caught.
+    """
+    try:
+        return sock.recv(size)
+    except EOFError as exc:
+        raise ConnectionAbortedError('closed by another green thread') from exc
