End what a session had open before its new transaction begins

Ruled out: connections given back inside a transaction, which are now closed as well. Each connection between instances is now a sender of its own.

--- a/godwitthread/gateway/groups.py
+++ b/godwitthread/gateway/groups.py
@@ -312,10 +312,10 @@
             return None
         return answer
 
-    def _hedge_ms(self, tried: set[str]) -> float:
+    def _hedge_ms(self, tried: set[str]) -> int:
         states = [self.dispatcher.members.get(each) for each in tried]
         service_ms = max((state.service_ms for state in states if state), default=0.0)
-        return min(MOST_HEDGE_MS, max(LEAST_HEDGE_MS, HEDGE_SERVICE_TIMES * service_ms))
+        return int(min(MOST_HEDGE_MS, max(LEAST_HEDGE_MS, HEDGE_SERVICE_TIMES * service_ms)))
 
     def _attempt(
         self,
@@ -358,6 +358,10 @@
     def _in_transaction(self, sender: str, req: RunRequest, deadline_ms: int) -> Result:
         key = (sender, req.session)
         tx = self._txs.get(key)
+        if tx is not None and req.first:
+            # What the session had open before it lost its way here.
+            self._forget(key, tx, clean=False)
+            tx = None
         if tx is None:
             if not req.first:
                 return failure(ErrorKind.TRANSACTION_LOST, 'the transaction ended', ended=True)
--- a/godwitthread/gateway/links.py
+++ b/godwitthread/gateway/links.py
@@ -80,6 +80,8 @@
 _conditions = msgspec.msgpack.Decoder(Condition)
 _failures = msgspec.msgpack.Decoder(Failed)
 
+_connections = itertools.count(1)
+
 FAILED = 'failed'
 HEARTBEAT = 'heartbeat'
 
@@ -307,7 +309,9 @@
         if first is None:
             return
         hello = _hellos.decode(first)
-        sender = f'{hello.name}/{hello.incarnation}'
+        # Each connection is a sender of its own: what it had open ends with it, and a
+        # later connection of the same peer never joins it.
+        sender = f'{hello.name}/{hello.incarnation}/{next(_connections)}'
         while (data := stream.read()) is not None:
             frame = _frames.decode(data)
             if frame.call_id == 0:
--- a/godwitthread/gateway/members.py
+++ b/godwitthread/gateway/members.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from godwitthread.core.statements import Refusal
+from godwitthread.core.statements import Refusal, TxState
 from godwitthread.gateway.ports import NotConnectedError
 from godwitthread.loop import eventlet
 
@@ -72,11 +72,11 @@
             eventlet.sleep(RECHECK_MS / 1000)
 
     def give_back(self, conn: Connection) -> None:
-        """Take a connection back; one that is closed or not clean is dropped."""
+        """Take a connection back; one inside a transaction is closed."""
         self._lent.discard(conn)
         if conn.closed:
             return
-        if self.closing:
+        if self.closing or conn.state is not TxState.IDLE:
             conn.close()
             return
         conn.used_ms = self._clock.now_ms()
--- a/godwitthread/gateway/ports.py
+++ b/godwitthread/gateway/ports.py
@@ -8,7 +8,7 @@
     from collections.abc import Callable
 
     from godwitthread.core.catalog import Configuration, Member
-    from godwitthread.core.statements import Prepared, Refusal, Reply
+    from godwitthread.core.statements import Prepared, Refusal, Reply, TxState
     from godwitthread.types import Position
 
 
@@ -38,6 +38,7 @@
     values: dict[str, str]
     prepared: set[str]
     closed: bool
+    state: TxState
     used_ms: int
 
     def alive(self) -> bool:
--- a/godwitthread/platform/members.py
+++ b/godwitthread/platform/members.py
@@ -53,6 +53,8 @@
         self.prepared: set[str] = set()
         #: Whether the connection can't be used any more.
         self.closed = False
+        #: State that the member named last.
+        self.state = TxState.IDLE
         #: Time of the last use, in ms.
         self.used_ms = 0
         self._sock = sock
@@ -159,12 +161,13 @@
                     refusal = _REFUSALS.get(code, Refusal.FAILED)
                 elif word == 'READY':
                     state, _, position = rest.partition(' ')
+                    self.state = _STATES.get(state, TxState.FAILED)
                     return Reply(
                         tuple(rows),
                         receipt,
                         refusal,
                         message,
-                        _STATES.get(state, TxState.FAILED),
+                        self.state,
                         parse_position(position),
                     )
                 else:
--- /dev/null
+++ b/tests/test_gateway/test_groups.py
@@ -0,0 +1,195 @@
+"""Statements at the owner of a group."""
+
+from __future__ import annotations
+
+import eventlet
+import pytest
+
+from godwitthread.core.statements import Action, Consistency, Prepared, Refusal, TxState
+from tests.test_gateway.fakes import GROUP, FakeGroup, member, members, request, runner
+
+
+def test_a_new_transaction_never_joins_one_left_open_by_the_same_session():
+    """Guard against statements of one transaction inside another after a lost link."""
+    group = FakeGroup()
+    made = runner(group)
+    made.run('a/1', request('WRITE i old', Action.IN_TRANSACTION, writes=True))
+    old = group.connections[-1]
+    made.run('a/1', request('WRITE i new', Action.IN_TRANSACTION, writes=True))
+    assert old.closed
+    assert made.run('a/1', request('COMMIT', Action.COMMIT, first=False)).error == ''
+    assert group.applied['m0'].offset == 11
+
+
+def test_transactions_of_a_peer_end_with_its_connection():
+    """Guard against transactions that hold a connection after their instance is gone."""
+    group = FakeGroup()
+    made = runner(group)
+    made.run('a/1/1', request('WRITE i x', Action.IN_TRANSACTION, writes=True))
+    made.end_sender('a/1/1')
+    assert group.connections[-1].closed
+    result = made.run('a/1/2', request('COMMIT', Action.COMMIT, first=False))
+    assert result.error == 'transaction_lost'
+    assert group.applied['m0'].offset == 10
+
+
+def test_a_connection_inside_a_transaction_is_not_lent_again():
+    """Guard against a pooled connection whose rollback was refused."""
+    group = FakeGroup()
+    made = runner(group)
+    conn = made.pools['m0'].lend('drivers', {}, 100)
+    conn.state = TxState.OPEN
+    made.pools['m0'].give_back(conn)
+    assert conn.closed
+    assert made.pools['m0'].lend('drivers', {}, 100) is not conn
+
+
+@pytest.mark.parametrize('refusal', [Refusal.LOST, Refusal.FAILED, Refusal.TIMEOUT])
+def test_a_write_that_may_have_run_is_not_sent_again(refusal):
+    """Guard against a write that takes effect twice."""
+    group = FakeGroup()
+    group.script = [('WRITE', refusal)]
+    made = runner(group)
+    result = made.run('a', request('WRITE i x'))
+    expected = {
+        Refusal.LOST: 'connection_lost',
+        Refusal.FAILED: 'statement_failed',
+        Refusal.TIMEOUT: 'deadline_exceeded_after_send',
+    }
+    assert result.error == expected[refusal]
+    assert 'WRITE i x' not in group.texts()
+
+
+def test_a_write_refused_by_a_former_primary_runs_at_the_new_one():
+    """Guard against a lost write while the primary changes."""
+    group = FakeGroup()
+    made = runner(group)
+    group.promote('m1')
+    eventlet.spawn_after(0.05, made.update, *_update(group))
+    result = made.run('a', request('WRITE i x'))
+    assert result.error == ''
+    assert result.receipt == 'receipt-m1'
+
+
+def test_a_commit_without_an_answer_is_unknown():
+    """Guard against a promise that nothing is kept when the commit may have run."""
+    group = FakeGroup()
+    made = runner(group)
+    made.run('a', request('WRITE i x', Action.IN_TRANSACTION, writes=True))
+    group.script = [('COMMIT', Refusal.LOST)]
+    result = made.run('a', request('COMMIT', Action.COMMIT, first=False))
+    assert result.error == 'commit_unknown'
+
+
+def test_a_commit_refused_by_a_former_primary_is_rolled_back():
+    """Guard against an unknown outcome where the member promises that nothing ran."""
+    group = FakeGroup()
+    made = runner(group)
+    made.run('a', request('WRITE i x', Action.IN_TRANSACTION, writes=True))
+    group.promote('m1')
+    result = made.run('a', request('COMMIT', Action.COMMIT, first=False))
+    assert result.error == 'transaction_lost'
+
+
+def test_a_read_sees_a_commit_of_its_session_on_every_member():
+    """Guard against a session that does not see its own write."""
+    group = FakeGroup()
+    made = runner(group)
+    seen = made.run('a', request('WRITE i x')).position
+    for _ in range(20):
+        assert made.run('a', request('READ i', seen=seen)).error == ''
+    reads = [entry.member for entry in group.ran if entry.text == 'READ i']
+    assert set(reads) == {'m0'}
+    group.catch_up()
+    eventlet.sleep(0.2)
+    assert made.run('a', request('READ i', seen=seen)).error == ''
+
+
+def test_a_replica_never_answers_a_read_of_a_primary_route():
+    """Guard against the stale answer of a member that lost the lead unnoticed."""
+    group = FakeGroup()
+    made = runner(group)
+    group.promote('m1')
+    eventlet.spawn_after(0.05, made.update, *_update(group))
+    result = made.run('a', request('READ i', consistency=Consistency.PRIMARY))
+    assert result.receipt == 'receipt-m1'
+    assert [entry.member for entry in group.ran] == ['m1']
+
+
+def test_a_bounded_read_relies_on_recent_evidence_only():
+    """Guard against reads on a replica while nothing is known of the primary's log."""
+    group = FakeGroup()
+    made = runner(group)
+    assert made.evidence.newest is None
+    result = made.run('a', request('READ i', consistency=Consistency.BOUNDED, max_age_ms=1_500))
+    assert result.error == ''
+    assert made.evidence.newest is not None
+
+
+def test_a_read_without_an_answer_goes_to_another_member():
+    """Guard against a read that fails although other members can run it."""
+    group = FakeGroup()
+    made = runner(group)
+    group.script = [('READ', Refusal.LOST)]
+    result = made.run('a', request('READ i'))
+    assert result.error == ''
+
+
+def test_session_values_and_prepared_statements_follow_the_session():
+    """Guard against a statement that runs with the values of another session."""
+    group = FakeGroup(count=1)
+    made = runner(group)
+    prepared = Prepared(True, 'shape')
+    made.run('a', request('READ i', values=(('lang', 'nb'), ('tz', 'utc'))))
+    made.run('a', request('EXEC s1 i', values=(('lang', 'es'),), prepared=prepared))
+    made.run('a', request('READ i', session=2))
+    assert [entry.values for entry in group.ran] == [
+        {'lang': 'nb', 'tz': 'utc'},
+        {'lang': 'es'},
+        {},
+    ]
+
+
+def test_the_connection_limit_is_kept_by_closing_idle_connections():
+    """Guard against more connections than the member accepts."""
+    group = FakeGroup(count=1)
+    made = runner(group)
+    for number in range(40):
+        result = made.run('a', request('READ i', organisation=f'org{number}'))
+        assert result.error == ''
+        assert sum(not conn.closed for conn in group.connections) <= 16
+
+
+def test_a_draining_or_evacuated_member_gets_no_new_work():
+    """Guard against work on members that leave."""
+    group = FakeGroup()
+    made = runner(group)
+    entries = members(group) | {'m1': member('m1', draining=True)}
+    made.update(*_update(group, entries, {'d2'}))
+    for _ in range(20):
+        made.run('a', request('READ i'))
+    assert {entry.member for entry in group.ran} == {'m0'}
+
+
+def test_work_beyond_the_rate_is_refused_with_a_time_to_come_back():
+    """Guard against refused work that reaches a member."""
+    group = FakeGroup()
+    made = runner(group, admit=lambda organisation, wait_ms: 70)
+    result = made.run('a', request('READ i'))
+    assert (result.error, result.retry_after_ms) == ('rate_limited', 70)
+    assert group.ran == []
+
+
+def test_idle_transactions_are_ended():
+    """Guard against transactions that hold a connection for good."""
+    group = FakeGroup()
+    made = runner(group)
+    made.update(*_update(group, tx_idle_ms=10))
+    made.run('a', request('WRITE i x', Action.IN_TRANSACTION, writes=True))
+    eventlet.sleep(0.05)
+    made.tick(owned=True)
+    assert made.run('a', request('COMMIT', Action.COMMIT, first=False)).error == 'transaction_lost'
+
+
+def _update(group, entries=None, evacuated=frozenset(), tx_idle_ms=3_000):
+    return GROUP, entries or members(group), set(evacuated), tx_idle_ms
