--- a/godwitthread/core/allowance.py
+++ b/godwitthread/core/allowance.py
@@ -13,6 +13,9 @@
 AHEAD_S = 0.25
 #: Most that is asked ahead.
 MOST_AHEAD = 20
+#: Share of the burst that a new granter may give at once. Several changes of the granter
+#: within a few seconds then stay below the tolerance of a tenth.
+FIRST_SHARE = 0.2
 #: Delay named when an organisation may do nothing at all, in ms.
 NOTHING_RETRY_MS = 1_000
 #: Weight of the newest sample in the average of the rate of use.
@@ -30,11 +33,13 @@
 class RateGranter:
     """Divide the rate of one organisation among all that ask.
 
-    It starts with nothing to give, since the granter before it may have given the burst.
+    It starts with part of the burst, since the granter before it may have given the burst.
     """
 
     def __init__(self, now_ms: int, rate: float, burst: float) -> None:
-        self._bucket = TokenBucket(int(rate * 1000), int(burst * 1000), now_ms)
+        first = int(burst * FIRST_SHARE * 1000)
+        self._bucket = TokenBucket(int(rate * 1000), first, now_ms, full=True)
+        self._bucket.resize(now_ms, int(rate * 1000), int(burst * 1000))
 
     def change(self, now_ms: int, rate: float, burst: float) -> None:
         """Put another limit in force."""
--- a/godwitthread/core/dispatch.py
+++ b/godwitthread/core/dispatch.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+import math
+from typing import TYPE_CHECKING, NamedTuple
 
 from godwitthread.types import Position
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 #: Statements sent to a member beyond its slots, so that the next one is there
 #: when a slot falls free. One hides a round trip between failure domains.
 AHEAD = 1
@@ -64,6 +68,8 @@
         self.failures = 0
         #: Time of the newest answer, in ms.
         self.answered_ms = 0
+        #: Time of the oldest statement sent since the newest answer, 0 without one, in ms.
+        self.asked_ms = 0
         #: Statements per second while the member is cold, 0 for no limit.
         self.cold_rate = 0.0
         self.cold_until_ms = 0
@@ -80,18 +86,24 @@
     def begin(self, now_ms: int) -> None:
         """Count a statement that is sent."""
         self.running += 1
+        self.asked_ms = self.asked_ms or now_ms
         if now_ms < self.cold_until_ms and self.cold_rate > 0:
             self._cold_next_ms = max(self._cold_next_ms, now_ms) + 1000 / self.cold_rate
 
     def end(self, now_ms: int, service_ms: float | None, position: Position | None) -> None:
         """Count an answer; no service time means that nothing ran."""
         self.running -= 1
-        self.answered_ms = now_ms
+        self.answer(now_ms)
         self.failures = 0
         self.see(position)
         if service_ms is not None:
             self.service_ms += (service_ms - self.service_ms) * NEWEST_SHARE
 
+    def answer(self, now_ms: int) -> None:
+        """Note that the member answered something."""
+        self.answered_ms = now_ms
+        self.asked_ms = now_ms if self.running else 0
+
     def see(self, position: Position | None) -> None:
         """Record the position in an answer."""
         if position is not None and (self.position is None or position > self.position):
@@ -119,7 +131,7 @@
             return True
         if self.position is not None and self.position >= work.required:
             return True
-        return now_ms - work.required_ms > self.lag_ms
+        return now_ms - work.required_ms >= self.lag_ms
 
 
 class Refused(NamedTuple):
@@ -148,6 +160,9 @@
     def __len__(self) -> int:
         return len(self._waiting)
 
+    def __iter__(self) -> Iterator[Work]:
+        return iter(self._waiting.values())
+
     def submit(self, now_ms: int, work: Work) -> Refused | None:
         """Queue work, or refuse it when it can't start before its deadline."""
         wait_ms = self.expected_wait_ms(work)
@@ -166,7 +181,7 @@
             member = self.members.get(self.primary or '')
             if member is None:
                 return 0.0
-            ahead = sum(other.primary for other in self._waiting.values())
+            ahead = sum(other.primary for other in self)
             busy = ahead + max(0, member.running - member.slots)
             return busy * member.service_ms / member.slots
         members = [member for member in self.members.values() if member.usable]
@@ -174,7 +189,9 @@
         if not slots:
             return 0.0
         service_ms = sum(member.service_ms for member in members) / len(members)
-        return len(self._waiting) * service_ms / slots
+        # Work that waits for a primary takes no slot while there is none.
+        ahead = sum(self.primary is not None or not other.primary for other in self)
+        return ahead * service_ms / slots
 
     def expired(self, now_ms: int) -> list[Work]:
         """Remove and return the work whose deadline has passed."""
@@ -213,7 +230,7 @@
             if member.paused_until_ms > now_ms
         ]
         times += [
-            int(work.required_ms + member.lag_ms) + 1
+            math.ceil(work.required_ms + member.lag_ms)
             for work in self._waiting.values()
             if work.required is not None
             for member in self.members.values()
--- a/godwitthread/core/succession.py
+++ b/godwitthread/core/succession.py
@@ -9,9 +9,10 @@
 
     from godwitthread.types import Position
 
-#: Time without any answer of a primary that was asked, before it counts as lost, in ms.
-#: Shorter than the caller's time limits, longer than a statement with a long tail.
-SILENT_MS = 900
+#: Time without any answer of a primary that was asked, before it is asked once more and
+#: then counts as lost, in ms. Longer than a statement with a long tail, and short enough
+#: that a caller with 1.2 s in all can be served by the successor.
+SILENT_MS = 450
 #: Time for which connections to the primary must fail before it counts as lost, in ms.
 REFUSED_MS = 400
 #: Time between two orders for one group, in ms. A promotion takes up to 1 s.
--- a/godwitthread/gateway/failover.py
+++ b/godwitthread/gateway/failover.py
@@ -33,6 +33,8 @@
 DRAIN_MS = 600
 #: Time that a replica has to receive everything before a planned change, in ms.
 CATCH_UP_MS = 1_500
+#: Time that a promoted member has until it leads, in ms; the platforms take 0.3 to 1 s.
+LEAD_MS = 2_500
 #: Limit of a question to a member, in ms.
 STATUS_TIMEOUT_MS = 300
 #: Interval of looks at what is awaited, in ms.
@@ -99,6 +101,9 @@
 
     def _replace(self, reason: str) -> None:
         planned = is_planned(reason)
+        if reason == 'silent' and not self._still_silent():
+            self._running = False
+            return
         started_ms = self._clock.now_ms()
         try:
             chosen = self._prepare_planned() if planned else self._choose(None)
@@ -120,7 +125,7 @@
             )
             answer = self._order(OrderRequest(self._runner.name, chosen.id))
             if answer.done:
-                self._runner.promoted(chosen.id)
+                self._await_lead(chosen.id)
             took_ms = self._clock.now_ms() - started_ms
             self._log.event(
                 'member_promoted' if answer.done else 'promotion_failed',
@@ -138,6 +143,20 @@
             self._next_ms = self._clock.now_ms() + gap_ms
             self._running = False
 
+    def _await_lead(self, member_id: str) -> None:
+        """Wait until the member leads, which it does some time after the order."""
+        end_ms = self._clock.now_ms() + LEAD_MS
+        while self._clock.now_ms() < end_ms:
+            if self._runner.leads(member_id):
+                self._runner.promoted(member_id)
+                return
+            eventlet.sleep(STEP_MS / 1000)
+
+    def _still_silent(self) -> bool:
+        """Ask a silent primary once more: a single lost answer is no reason to replace it."""
+        primary = self._runner.last_primary
+        return primary is None or not self._runner.leads(primary)
+
     def _prepare_planned(self) -> Candidate | None:
         """Hold back work for the primary until a replica has received everything."""
         runner = self._runner
--- a/godwitthread/gateway/groups.py
+++ b/godwitthread/gateway/groups.py
@@ -81,7 +81,7 @@
         clock: Clock,
         ports: Ports,
         log: Log,
-        admit: Callable[[str, int], int],
+        admit: Callable[[str, int, int], int],
     ) -> None:
         self.name = name
         self.dispatcher = Dispatcher()
@@ -97,7 +97,8 @@
         self._clock = clock
         self._ports = ports
         self._log = log
-        #: Takes (organisation, ms to wait at most) and returns 0, or ms until a retry.
+        #: Takes an organisation and the longest waits for its rate and for its granter in
+        #: ms, and returns 0, or the ms until a retry.
         self._admit = admit
         self._group: Group | None = None
         self._tx_idle_ms = 3_000
@@ -107,7 +108,8 @@
         self._in_flight: dict[str, dict[int, int]] = {}
         self._probing: eventlet.event.Event | None = None
         self._bounded_ms = 0
-        self._deposed: dict[str, int] = {}
+        #: Members whose entry still claims the lead that they have lost.
+        self._deposed: set[str] = set()
         self._timer: eventlet.greenthread.GreenThread | None = None
         self._timer_ms = 0
         #: Statements that the group ran, connections that it opened.
@@ -143,13 +145,35 @@
         self.pump()
 
     def promoted(self, member_id: str) -> None:
-        """Note that a member was promoted by order of this instance."""
-        self._deposed.pop(member_id, None)
-        for other in self.members:
-            if other != member_id:
-                self._deposed[other] = self._clock.now_ms()
+        """Note that a member leads after an order of this instance."""
+        self._deposed.discard(member_id)
+        for other in self.members.keys() - {member_id}:
+            self._depose(other)
         self._set_primary(member_id)
 
+    def leads(self, member_id: str) -> bool:
+        """Ask a member whether it is the primary; every answer counts as a sign of life."""
+        pool = self.pools.get(member_id)
+        state = self.dispatcher.members.get(member_id)
+        organisation = self.any_organisation()
+        if pool is None or state is None or organisation is None:
+            return False
+        sent_ms = self._clock.now_ms()
+        try:
+            conn = pool.lend(organisation, {}, OWN_TIMEOUT_MS)
+        except NotConnectedError as exc:
+            self._log.failure('evidence_not_renewed', member=member_id, reason=exc.refusal.value)
+            return False
+        with self._flying(member_id, sent_ms):
+            reply = conn.begin(False, None, OWN_TIMEOUT_MS)
+        if reply.refusal is not Refusal.LOST:
+            state.answer(self._clock.now_ms())
+        if reply.refusal is None:
+            self._prove(member_id, sent_ms, reply)
+            conn.rollback(OWN_TIMEOUT_MS)
+        self._release(member_id, conn)
+        return reply.refusal is None
+
     def hold(self, holding: bool) -> None:
         """Let work for the primary wait, or go on."""
         self.holding = holding
@@ -158,11 +182,10 @@
 
     def unanswered_ms(self, member_id: str) -> int:
         """Return for how long a member that was asked has not answered at all, in ms."""
-        sent = self._in_flight.get(member_id)
         state = self.dispatcher.members.get(member_id)
-        if not sent or state is None:
+        if state is None or not state.asked_ms:
             return 0
-        return max(0, self._clock.now_ms() - max(min(sent.values()), state.answered_ms))
+        return self._clock.now_ms() - state.asked_ms
 
     def any_organisation(self) -> str | None:
         """Return an organisation that uses the group, None if there is none yet."""
@@ -211,7 +234,11 @@
                 self._forget((sender, req.session), tx, clean=True)
             return Result(ended=True)
         if req.first:
-            wait_ms = self._admit(req.organisation, int(req.objective_ms * RATE_WAIT_SHARE))
+            wait_ms = self._admit(
+                req.organisation,
+                int(req.objective_ms * RATE_WAIT_SHARE),
+                int(req.remaining_ms * HOLD_SHARE / 2),
+            )
             if wait_ms:
                 return failure(
                     ErrorKind.RATE_LIMITED, 'rate of the organisation is used up', wait_ms, True
@@ -555,30 +582,16 @@
             self._probing.wait()
             return
         primary = self.last_primary
-        pool = self.pools.get(primary or '')
         state = self.dispatcher.members.get(primary or '')
-        if pool is None or state is None or primary is None:
+        if state is None or primary is None:
             return
         if self._clock.now_ms() < state.paused_until_ms:
             return
         done = self._probing = eventlet.event.Event()
+        answered_ms = state.answered_ms
         try:
-            organisation = pool.any_organisation() or self.any_organisation()
-            if organisation is None:
-                return
-            sent_ms = self._clock.now_ms()
-            conn = pool.lend(organisation, {}, OWN_TIMEOUT_MS)
-            with self._flying(primary, sent_ms):
-                reply = conn.begin(False, None, OWN_TIMEOUT_MS)
-            if reply.refusal is None:
-                state.answered_ms = self._clock.now_ms()
-                self._prove(primary, sent_ms, reply)
-                conn.rollback(OWN_TIMEOUT_MS)
-            elif reply.refusal is Refusal.READ_ONLY:
+            if not self.leads(primary) and state.answered_ms > answered_ms:
                 self._lost_lead(primary)
-            self._release(primary, conn)
-        except NotConnectedError as exc:
-            self._log.failure('evidence_not_renewed', member=primary, reason=exc.refusal.value)
         finally:
             self._probing = None
             done.send()
@@ -681,7 +694,7 @@
         for member in self.members.values():
             if not member.primary:
                 # It sees itself as a replica, so a later claim is a new one.
-                self._deposed.pop(member.id, None)
+                self._deposed.discard(member.id)
         if self.last_primary in claims and len(claims) == 1:
             return
         if self.last_primary in self.members and self.last_primary in claims:
@@ -696,11 +709,17 @@
         return state.position.term if state.position else 0, self.members[member_id].born
 
     def _lost_lead(self, member_id: str) -> None:
-        self._deposed[member_id] = self._clock.now_ms()
+        self._depose(member_id)
         if member_id == self.last_primary:
             self._set_primary(None)
             self._find_primary(self._clock.now_ms())
 
+    def _depose(self, member_id: str) -> None:
+        """Void the claim that a member's entry makes now; a later one counts again."""
+        member = self.members.get(member_id)
+        if member is not None and member.primary:
+            self._deposed.add(member_id)
+
     def _set_primary(self, member_id: str | None) -> None:
         if member_id == self.last_primary:
             return
@@ -718,7 +737,7 @@
         self.pools[member.id] = MemberPool(
             member, limit, self._clock, self._ports.connect, self._greeted
         )
-        self._deposed.pop(member.id, None)
+        self._deposed.discard(member.id)
 
     def _drop(self, member_id: str) -> None:
         self.dispatcher.members.pop(member_id, None)
--- a/godwitthread/gateway/limits.py
+++ b/godwitthread/gateway/limits.py
@@ -46,10 +46,14 @@
         self._granters: dict[str, RateGranter] = {}
         self._asking: dict[str, eventlet.event.Event] = {}
 
-    def admit(self, organisation: str, wait_ms: int) -> int:
-        """Return 0 when an operation may run, else the ms after which to try again."""
+    def admit(self, organisation: str, wait_ms: int, hold_ms: int) -> int:
+        """Return 0 when an operation may run, else the ms after which to try again.
+
+        It waits for the rate itself, or longer for a granter that can't be asked.
+        """
         holder = self._holders.setdefault(organisation, RateHolder())
         end_ms = self._clock.now_ms() + wait_ms
+        hold_ms += self._clock.now_ms()
         holder.waiting += 1
         try:
             while not holder.take(self._clock.now_ms()):
@@ -58,7 +62,7 @@
                     if holder.refused_until_ms > end_ms:
                         return holder.refused_until_ms - now_ms
                     eventlet.sleep((holder.refused_until_ms - now_ms) / 1000)
-                elif now_ms >= end_ms:
+                elif now_ms >= hold_ms:
                     return RETRY_MS
                 else:
                     self._ask_once(organisation, holder)
--- a/godwitthread/gateway/links.py
+++ b/godwitthread/gateway/links.py
@@ -218,11 +218,6 @@
         if self._stream is not None:
             self._stream.send(next(self._ids), kind, body)
 
-    def tell_condition(self) -> None:
-        """Send a heartbeat at once."""
-        if self._stream is not None:
-            self._stream.send(0, HEARTBEAT, self._condition())
-
     def stop(self) -> None:
         """Close the link for good."""
         self._stopped = True
@@ -291,18 +286,26 @@
                 logger.debug('link to %s silent for %d ms', self.peer.name, silent_ms)
                 self._lose()
             else:
-                self.tell_condition()
+                stream.send(0, HEARTBEAT, self._condition())
+
+
+def tell(streams: set[Stream], condition: Condition) -> None:
+    """Send a heartbeat to every peer that has a link to this instance."""
+    for stream in streams:
+        stream.send(0, HEARTBEAT, condition)
 
 
 def serve(
     sock: socket.socket,
+    streams: set[Stream],
     condition: Callable[[], Condition],
     handler: CallHandler,
     on_end: Callable[[str], None],
 ) -> None:
-    """Answer the calls of one peer until its connection ends."""
+    """Answer the calls of one peer until its connection ends; keep its stream in a set."""
     configure(sock)
     stream = Stream(sock)
+    streams.add(stream)
     sender = ''
     try:
         first = stream.read()
@@ -321,6 +324,7 @@
     except (OSError, msgspec.DecodeError) as exc:
         logger.debug('link from %s failed: %s', sender, exc)
     finally:
+        streams.discard(stream)
         stream.close()
         on_end(sender)
 
--- a/godwitthread/gateway/members.py
+++ b/godwitthread/gateway/members.py
@@ -18,6 +18,9 @@
 
 #: Wait for a connection that another statement holds, between two looks, in ms.
 RECHECK_MS = 20
+#: Share of the limit up to which idle connections are kept. A member keeps those of an
+#: instance that lost power for 3 s, and the next owner needs room meanwhile.
+KEPT_SHARE = 0.5
 
 
 class MemberPool:
@@ -81,6 +84,8 @@
             return
         conn.used_ms = self._clock.now_ms()
         self._idle.append(conn)
+        if self.total > self.limit * KEPT_SHARE:
+            self._close_one_idle()
 
     def any_organisation(self) -> str | None:
         """Return an organisation with a connection, idle if possible, None without any."""
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -42,8 +42,11 @@
 #: Time that a registered peer must be out of reach before its entry is removed, in ms.
 #: A restart takes less.
 EVICT_MS = 10_000
-#: Time after the start until an instance decides about peers that it has not reached, in ms.
-START_MS = 1_500
+#: Time after the start until an instance owns something although it has not reached all
+#: candidates, in ms. When all start at once, each would own everything otherwise.
+SETTLE_MS = 700
+#: Time without a majority after which callers are sent to other instances, in ms.
+MINORITY_MS = 400
 
 
 class ViewRequest(NamedTuple):
@@ -78,8 +81,12 @@
         self.metrics = metrics
         #: Whether the instance is shutting down.
         self.leaving = False
+        #: Streams of the peers that have a link to this instance.
+        self.inbound: set[links.Stream] = set()
         self._ports = ports
         self._started_ms = clock.now_ms()
+        self._settled = False
+        self._minority_since_ms = 0
         self.view = View(ports.schema, clock, log, self._on_view)
         self.sessions = Sessions(
             clock, lambda: self.view.configuration, self.run, log, metrics.observe
@@ -114,22 +121,21 @@
     def leave(self) -> None:
         """Stop owning groups and taking sessions."""
         self.leaving = True
-        for link in self._links.values():
-            link.tell_condition()
+        links.tell(self.inbound, self.condition())
+        self._settle_ownership()
 
     def ready(self) -> bool:
         """Tell whether callers are served here."""
         return (
             not self.leaving
             and self.view.configuration is not None
-            and bool(self.view.members)
+            and self._settled
             and self._has_majority()
         )
 
     def condition(self) -> Condition:
         """Return what peers are told about this instance."""
-        known = self.view.configuration is not None and bool(self.view.members)
-        return Condition(self.leaving, known)
+        return Condition(self.leaving, self._settled)
 
     def working(self) -> bool:
         """Tell whether statements of other instances are still at work here."""
@@ -249,7 +255,7 @@
 
     def _reach(self) -> dict[str, Reach]:
         reach = {name: link.reach() for name, link in self._links.items()}
-        reach[self.peer.name] = Reach(True, leaving=self.leaving, ready=self.condition().ready)
+        reach[self.peer.name] = Reach(True, leaving=self.leaving, ready=self._settled)
         return reach
 
     def _owner(self, resource: str) -> str | None:
@@ -290,7 +296,10 @@
         self._candidates = [each.name for each in chosen]
         for peer in chosen:
             known = self._links.get(peer.name)
-            if peer.name == self.peer.name or (known and known.peer == peer):
+            if peer.name == self.peer.name:
+                continue
+            if known is not None and known.peer.address == peer.address:
+                known.peer = peer
                 continue
             if known is not None:
                 known.stop()
@@ -337,6 +346,8 @@
 
     def _tick(self) -> None:
         self.view.forget_missing()
+        self._settle()
+        self._send_callers_away()
         self._settle_ownership()
         for name, runner in self.runners.items():
             owned = name in self._owned
@@ -345,6 +356,27 @@
                 self._failovers[name].tick()
         self._evict()
 
+    def _settle(self) -> None:
+        """Note that enough is known to own groups and rates."""
+        if self._settled or self.view.configuration is None or not self.view.members:
+            return
+        others = [link for name, link in self._links.items() if name in self._candidates]
+        reached = bool(others) and all(link.up for link in others)
+        if reached or self.clock.now_ms() - self._started_ms >= SETTLE_MS:
+            self._settled = True
+            links.tell(self.inbound, self.condition())
+
+    def _send_callers_away(self) -> None:
+        """End idle sessions while other instances can't be reached."""
+        now_ms = self.clock.now_ms()
+        if self.leaving or self._has_majority():
+            self._minority_since_ms = 0
+            self.sessions.ending = self.leaving
+            return
+        self._minority_since_ms = self._minority_since_ms or now_ms
+        if self._settled and now_ms - self._minority_since_ms >= MINORITY_MS:
+            self.sessions.end_idle()
+
     def _register(self) -> None:
         """Keep the own entry in the store."""
         content = encode_peer(self.peer)
@@ -409,10 +441,10 @@
 
     # Small parts
 
-    def _admit(self, organisation: str, wait_ms: int) -> int:
+    def _admit(self, organisation: str, wait_ms: int, hold_ms: int) -> int:
         if organisation == ANONYMOUS:
             return 0
-        return self.limits.admit(organisation, wait_ms)
+        return self.limits.admit(organisation, wait_ms, hold_ms)
 
     def _organisation(self, name: str) -> Organisation | None:
         return self._organisations.get(name)
--- a/godwitthread/platform/program.py
+++ b/godwitthread/platform/program.py
@@ -120,7 +120,7 @@
 
     def _serve_peer(self, sock: Any) -> None:
         node = self._node
-        links.serve(sock, node.condition, node.handle, node.peer_ended)
+        links.serve(sock, node.inbound, node.condition, node.handle, node.peer_ended)
 
     def _serve_caller(self, sock: Any) -> None:
         configure(sock)
--- a/tests/test_gateway/fakes.py
+++ b/tests/test_gateway/fakes.py
@@ -121,9 +121,7 @@
         if writes and self.member != self.group.primary:
             return self._reply(refusal=Refusal.READ_ONLY)
         self.group.ran.append(
-            Entry(
-                self.member, self.organisation, statement_id, text, self.state, dict(self.values)
-            )
+            Entry(self.member, self.organisation, statement_id, text, self.state, dict(self.values))
         )
         self._wrote = self._wrote or writes
         if (writes and self.state is TxState.IDLE) or (text == 'COMMIT' and self._wrote):
@@ -213,7 +211,7 @@
     return Ports(group.connect, lambda: None, schema, promote)
 
 
-def runner(group: FakeGroup, admit=lambda organisation, wait_ms: 0) -> GroupRunner:
+def runner(group: FakeGroup, admit=lambda organisation, wait_ms, hold_ms: 0) -> GroupRunner:
     """Build a runner that knows the members of a fake group."""
     clock = Clock()
     made = GroupRunner(GROUP.name, clock, ports(group), quiet_log(clock), admit)
--- a/tests/test_gateway/test_groups.py
+++ b/tests/test_gateway/test_groups.py
@@ -174,7 +174,7 @@
 def test_work_beyond_the_rate_is_refused_with_a_time_to_come_back():
     """Guard against refused work that reaches a member."""
     group = FakeGroup()
-    made = runner(group, admit=lambda organisation, wait_ms: 70)
+    made = runner(group, admit=lambda organisation, wait_ms, hold_ms: 70)
     result = made.run('a', request('READ i'))
     assert (result.error, result.retry_after_ms) == ('rate_limited', 70)
     assert group.ran == []
