--- a/godwitthread/core/catalog.py
+++ b/godwitthread/core/catalog.py
@@ -74,6 +74,8 @@
     cold_ms: int
     #: Unix time of the start in ms; a restart under the same id changes it.
     born: int
+    #: Version of the store at which the entry was written.
+    revision: int = 0
 
 
 class Peer(NamedTuple):
--- a/godwitthread/gateway/duty.py
+++ b/godwitthread/gateway/duty.py
@@ -21,8 +21,12 @@
 #: Tokens that a holder takes at once. It uses a new one for each order, so that an order
 #: without an answer is fenced off by the next one, also while the store is away.
 TOKENS = 1_000
-#: Times that an order is repeated while it is unknown what became of it.
-MOST_ORDERS = 3
+#: Limit of the first order in ms. The answer comes before the member leads, in some 30 ms;
+#: writers wait meanwhile, so that a lost answer must not take long.
+ORDER_TIMEOUT_MS = 400
+#: Times that an order is given while it is unknown what became of it; each waits twice
+#: as long as the one before, in case the platform is slow.
+MOST_ORDERS = 4
 
 
 class Holder(NamedTuple):
@@ -91,9 +95,10 @@
     def order(self, group: str, member: str) -> OrderAnswer:
         """Order a promotion as the holder; raise ProxyError if this is not the holder."""
         result: PromotionResult | None = None
-        for _ in range(MOST_ORDERS):
+        for attempt in range(MOST_ORDERS):
             token = self._token()
-            result = self._ports.promote(group, member, self._name, token)
+            timeout_ms = ORDER_TIMEOUT_MS << attempt
+            result = self._ports.promote(group, member, self._name, token, timeout_ms)
             self._log.event(
                 'promotion_ordered',
                 group=group,
--- a/godwitthread/gateway/failover.py
+++ b/godwitthread/gateway/failover.py
@@ -105,6 +105,8 @@
             self._running = False
             return
         started_ms = self._clock.now_ms()
+        # Nothing more is sent to a primary that is lost or about to hand over.
+        self._runner.hold(True)
         try:
             chosen = self._prepare_planned() if planned else self._choose(None)
             if chosen is None:
@@ -164,7 +166,6 @@
         assert primary is not None
         if self._choose(None) is None:
             return None
-        runner.hold(True)
         end_ms = self._clock.now_ms() + DRAIN_MS
         state = runner.dispatcher.members.get(primary)
         while self._clock.now_ms() < end_ms and state is not None:
--- a/godwitthread/gateway/groups.py
+++ b/godwitthread/gateway/groups.py
@@ -695,18 +695,19 @@
             if not member.primary:
                 # It sees itself as a replica, so a later claim is a new one.
                 self._deposed.discard(member.id)
-        if self.last_primary in claims and len(claims) == 1:
-            return
-        if self.last_primary in self.members and self.last_primary in claims:
-            claims.remove(self.last_primary)
         if claims:
             self._set_primary(max(claims, key=self._rank_claim))
         elif self.last_primary not in self.members:
             self._set_primary(None)
 
     def _rank_claim(self, member_id: str) -> tuple[int, int]:
+        """Rank by the term seen in answers, then by the time of the entry.
+
+        A crashed primary's entry still claims the lead for a while.
+        """
         state = self.dispatcher.members[member_id]
-        return state.position.term if state.position else 0, self.members[member_id].born
+        term = state.position.term if state.position else 0
+        return term, self.members[member_id].revision
 
     def _lost_lead(self, member_id: str) -> None:
         self._depose(member_id)
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -37,8 +37,8 @@
 CALL_SLACK_MS = 150
 #: Limit of calls between instances that are not statements, in ms.
 CALL_TIMEOUT_MS = 300
-#: Limit of an order that another instance carries out, in ms: several tries of 2.5 s.
-ORDER_TIMEOUT_MS = 6_000
+#: Limit of an order that another instance carries out, in ms: the sum of all its tries.
+ORDER_TIMEOUT_MS = duties.ORDER_TIMEOUT_MS * (2**duties.MOST_ORDERS - 1)
 #: Time that a registered peer must be out of reach before its entry is removed, in ms.
 #: A restart takes less.
 EVICT_MS = 10_000
--- a/godwitthread/gateway/ports.py
+++ b/godwitthread/gateway/ports.py
@@ -158,5 +158,5 @@
     #: Open a client of the store; each has a connection of its own.
     store: Callable[[], Store]
     schema: Schema
-    #: Order a promotion: group, member, name of the holder, fencing token.
-    promote: Callable[[str, str, str, int], PromotionResult]
+    #: Order a promotion: group, member, name of the holder, fencing token, limit in ms.
+    promote: Callable[[str, str, str, int, int], PromotionResult]
--- a/godwitthread/gateway/view.py
+++ b/godwitthread/gateway/view.py
@@ -157,7 +157,7 @@
             if isinstance(member, Undecodable):
                 self._log.failure('row_undecodable', row=key, reason=member.reason)
             else:
-                members[key] = member
+                members[key] = member._replace(revision=row.revision)
         now_ms = self._clock.now_ms()
         for key in self.members.keys() - members.keys():
             # An address that another member took is free for sure.
--- a/godwitthread/gateway/watching.py
+++ b/godwitthread/gateway/watching.py
@@ -24,8 +24,10 @@
 GAP_MS = 250
 #: The same for the table of instances, which all write when a deployment starts.
 PEER_GAP_MS = 1_000
-#: Pause after a failed call, in ms, drawn between half of it and the whole.
-RETRY_MS = 500
+#: Pause after a failed call, in ms, drawn between half of it and the whole. It doubles
+#: with each further failure, as every call is priced, and peers tell what is new meanwhile.
+RETRY_MS = 400
+MOST_RETRY_MS = 1_600
 #: Pause between two questions to a peer while the store does not answer, in ms.
 RELAY_MS = 400
 
@@ -51,6 +53,7 @@
         self._log = log
         self._relay = relay
         self._complete = False
+        self._retry_ms = RETRY_MS
 
     def run(self) -> None:
         """Follow the table until the thread is killed."""
@@ -63,12 +66,21 @@
                 continue
             except ProxyError as exc:
                 self._note(False, exc.message)
-                self._relay()
-                eventlet.sleep(random.uniform(RETRY_MS / 2, RETRY_MS) / 1000)
+                self._pause()
                 continue
             self._note(True, '')
+            self._retry_ms = RETRY_MS
             eventlet.sleep(self._gap_ms / 1000)
 
+    def _pause(self) -> None:
+        """Wait before the next call, and ask peers meanwhile."""
+        wait_ms = random.uniform(self._retry_ms / 2, self._retry_ms)
+        self._retry_ms = min(MOST_RETRY_MS, 2 * self._retry_ms)
+        while wait_ms > 0:
+            self._relay()
+            eventlet.sleep(min(wait_ms, RELAY_MS) / 1000)
+            wait_ms -= RELAY_MS
+
     def _follow(self) -> None:
         if not self._complete or not self._view.revision(self.table):
             self._view.replace(self.table, self._store.table(self.table))
--- a/godwitthread/platform/duties.py
+++ b/godwitthread/platform/duties.py
@@ -12,14 +12,13 @@
 if TYPE_CHECKING:
     from godwitthread.address import Address
 
-#: Limit of a call in ms. A promotion takes up to 1 s, and writers wait for its answer.
-CALL_TIMEOUT_MS = 2_500
-
 NOT_RUN = PromotionResult(done=False, final=True)
 UNKNOWN = PromotionResult(done=False, final=False)
 
 
-def promote(address: Address, group: str, member: str, holder: str, token: int) -> PromotionResult:
+def promote(
+    address: Address, group: str, member: str, holder: str, token: int, timeout_ms: int
+) -> PromotionResult:
     """Order the platform to promote a member."""
     headers = {
         'Content-Type': 'application/json',
@@ -29,11 +28,11 @@
     body = json.dumps({'Service': group, 'Id': member}).encode()
     conn = http.client.HTTPConnection(address.host, address.port)
     try:
-        conn.sock = connect(address, CALL_TIMEOUT_MS)
+        conn.sock = connect(address, timeout_ms)
     except OSError:
         return NOT_RUN
     try:
-        conn.sock.settimeout(CALL_TIMEOUT_MS / 1000)
+        conn.sock.settimeout(timeout_ms / 1000)
         conn.request('POST', '/promotion', body, headers)
         status = conn.getresponse().status
     except (OSError, http.client.HTTPException):
--- a/godwitthread/platform/members.py
+++ b/godwitthread/platform/members.py
@@ -24,7 +24,7 @@
     from godwitthread.types import Position
 
 #: Limit for opening a connection, in ms: the set-up takes 10 to 30 ms at an idle member.
-CONNECT_TIMEOUT_MS = 600
+CONNECT_TIMEOUT_MS = 400
 
 # The cooperative version would wait for the event loop even with a limit of 0.
 select = patcher.original('select').select
--- a/tests/test_gateway/fakes.py
+++ b/tests/test_gateway/fakes.py
@@ -204,7 +204,7 @@
 def ports(group: FakeGroup, promotions: list[PromotionResult] | None = None) -> Ports:
     """Build ports to a fake group."""
 
-    def promote(group_name: str, member_id: str, holder: str, token: int) -> PromotionResult:
+    def promote(group_name, member_id, holder, token, timeout_ms) -> PromotionResult:
         return (promotions or [PromotionResult(True, True)]).pop(0)
 
     schema = Schema('op', 'servers', 'config', 'evacuate/', lambda _: None, lambda _, __: None)
