--- a/godwitthread/core/ownership.py
+++ b/godwitthread/core/ownership.py
@@ -17,11 +17,9 @@
 LEAST_CANDIDATES = 9
 #: Candidates per group in deployments with many groups.
 CANDIDATES_PER_GROUP = 2
-#: Silence after which a peer counts as unreachable, in ms.
-SILENT_MS = 1_600
-#: Time that a peer must be reachable before it owns anything, in ms. It has read the
-#: store by then.
-SETTLE_MS = 700
+#: Silence after which a peer counts as unreachable, in ms: three heartbeats, and less than
+#: a caller's time limit, so that statements find the next owner in time.
+SILENT_MS = 1_000
 
 
 class Reach(NamedTuple):
--- a/godwitthread/gateway/links.py
+++ b/godwitthread/gateway/links.py
@@ -32,10 +32,10 @@
 logger = logging.getLogger(__name__)
 
 #: Interval of heartbeats, in ms; a third of the silence that ends a link.
-HEARTBEAT_MS = 500
+HEARTBEAT_MS = 300
 #: Limit for opening a link, and the pause before the next attempt, in ms.
 CONNECT_TIMEOUT_MS = 800
-RECONNECT_MS = 300
+RECONNECT_MS = 100
 #: Largest frame in bytes: a line of 1 MiB and what describes it.
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 #: Bytes asked of a socket at once.
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -44,7 +44,7 @@
 EVICT_MS = 10_000
 #: Time after the start until an instance owns something although it has not reached all
 #: candidates, in ms. When all start at once, each would own everything otherwise.
-SETTLE_MS = 700
+SETTLE_MS = 400
 #: Time without a majority after which callers are sent to other instances, in ms.
 MINORITY_MS = 400
 
