Add a fault soak of real processes, and own nothing without the list of instances

Sockets that one green thread closes under another are shut down first, since their number may be reused while the loop still watches it.

--- a/godwitthread/gateway/links.py
+++ b/godwitthread/gateway/links.py
@@ -17,7 +17,7 @@
 from godwitthread.core.ownership import SILENT_MS, Reach
 from godwitthread.errors import ErrorKind, ProxyError
 from godwitthread.loop import eventlet
-from godwitthread.sockets import configure, connect, receive
+from godwitthread.sockets import configure, connect, receive, sever
 
 if TYPE_CHECKING:
     import socket
@@ -124,16 +124,18 @@
             self._buffer += data
 
     def close(self) -> None:
-        """Close the socket and wake whoever reads from it."""
+        """End the connection; whoever reads from it releases the socket."""
         if self.closed:
             return
         self.closed = True
         if not self._wake.ready():
             self._wake.send()
-        try:
-            self._sock.shutdown(2)
-        except OSError:
-            logger.debug('socket was already disconnected')
+        sever(self._sock)
+
+    def release(self) -> None:
+        """Close the socket after the last read."""
+        self.close()
+        self._thread.kill()
         self._sock.close()
 
     def _write(self) -> None:
@@ -239,7 +241,7 @@
             stream.send_raw(_encoder.encode(self._own))
             stream.send(0, HEARTBEAT, self._condition())
             self._read(stream)
-            stream.close()
+            stream.release()
             self._lose()
             eventlet.sleep(RECONNECT_MS / 1000)
 
@@ -325,7 +327,7 @@
         logger.debug('link from %s failed: %s', sender, exc)
     finally:
         streams.discard(stream)
-        stream.close()
+        stream.release()
         on_end(sender)
 
 
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -360,6 +360,9 @@
         """Note that enough is known to own groups and rates."""
         if self._settled or self.view.configuration is None or not self.view.members:
             return
+        if self.peer.name not in self.view.peers:
+            # Without the list of instances, each would take itself for the only one.
+            return
         others = [link for name, link in self._links.items() if name in self._candidates]
         reached = bool(others) and all(link.up for link in others)
         if reached or self.clock.now_ms() - self._started_ms >= SETTLE_MS:
--- a/godwitthread/platform/members.py
+++ b/godwitthread/platform/members.py
@@ -16,7 +16,7 @@
     format_position,
     parse_position,
 )
-from godwitthread.sockets import connect
+from godwitthread.sockets import connect, sever
 
 if TYPE_CHECKING:
     from godwitthread.core.catalog import Member
@@ -58,6 +58,8 @@
         #: Time of the last use, in ms.
         self.used_ms = 0
         self._sock = sock
+        #: Whether a green thread waits for an answer.
+        self._waiting = False
         self._reader = LineReader(sock)
 
     def alive(self) -> bool:
@@ -83,12 +85,17 @@
         try:
             # The limit holds for each wait, not for the sum; a member that answers
             # slowly line by line is still at work.
+            self._waiting = True
             self._sock.settimeout(max(1, timeout_ms) / 1000)
             self._sock.sendall(encode(f'QUERY {statement_id} {_with_position(text, after)}'))
+            return self._reply()
         except OSError as exc:
-            self.close()
+            self.closed = True
             return Reply(refusal=Refusal.LOST, message=str(exc))
-        return self._reply()
+        finally:
+            self._waiting = False
+            if self.closed:
+                self._sock.close()
 
     def execute(
         self,
@@ -135,7 +142,10 @@
     def close(self) -> None:
         """Close the connection; the member rolls an open transaction back."""
         self.closed = True
-        self._sock.close()
+        if self._waiting:
+            sever(self._sock)
+        else:
+            self._sock.close()
 
     def _own(self, text: str, timeout_ms: int) -> bool:
         return self.run(OWN_ID, text, timeout_ms).refusal is None
@@ -173,7 +183,7 @@
                 else:
                     raise ConnectionResetError(f'unexpected message {word!r}')
         except (OSError, LineTooLongError) as exc:
-            self.close()
+            self.closed = True
             if refusal is not None and not receipt:
                 # An error is followed by a close when the start is refused.
                 return Reply(refusal=refusal, message=message)
--- a/godwitthread/sockets.py
+++ b/godwitthread/sockets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 from typing import TYPE_CHECKING
 
@@ -45,6 +46,17 @@
     return sock
 
 
+def sever(sock: socket.socket) -> None:
+    """End a connection for whoever reads from it, who then closes the socket.
+
+    The number of a socket that is closed under a waiting green thread may be given to
+    another one while the event loop still watches it.
+    """
+    with contextlib.suppress(OSError):
+        # The far end may have been faster.
+        sock.shutdown(socket.SHUT_RDWR)
+
+
 def receive(sock: socket.socket, size: int) -> bytes:
     """Return what has arrived, nothing at the end; raise OSError.
 
--- /dev/null
+++ b/godwitthread/standin/line_member.py
@@ -0,0 +1,321 @@
+"""Stand-in for the members of a group that speak lines."""
+
+from __future__ import annotations
+
+import itertools
+import random
+import socket
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from godwitthread.core.statements import TxState, Verb
+from godwitthread.loop import eventlet
+from godwitthread.platform.lines import (
+    LineReader,
+    encode,
+    format_position,
+    parse_position,
+    parse_query,
+    ready,
+)
+from godwitthread.sockets import configure, listen, sever
+from godwitthread.types import Position
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from godwitthread.address import Address
+    from godwitthread.core.statements import Statement
+
+
+class Commit(NamedTuple):
+    """Entry of the log."""
+
+    position: Position
+    #: Written items with their data, and the ids of the statements that wrote them.
+    writes: tuple[tuple[str, str, str], ...]
+    #: Time of the commit in ms.
+    at_ms: int
+
+
+class LineMember:
+    """Member of a group."""
+
+    def __init__(self, group: LineGroup, name: str, address: Address, domain: str) -> None:
+        self.group = group
+        self.name = name
+        self.address = address
+        self.failure_domain = domain
+        self.log: list[Commit] = []
+        self.applied = 0
+        self.born = 1
+        #: 'up', 'dark' (accepts and says nothing) or 'down' (refuses).
+        self.condition = 'up'
+        #: Share of the statements that run without an answer.
+        self.lost_share = 0.0
+        self.lag_s = 0.02
+        self.connections = 0
+        self._sockets: set[socket.socket] = set()
+        self._slots = eventlet.semaphore.Semaphore(group.slots)
+        self._listener: socket.socket | None = None
+
+    @property
+    def primary(self) -> bool:
+        """Tell whether the member leads."""
+        return self.group.primary is self
+
+    def start(self) -> None:
+        """Listen for connections."""
+        self.condition = 'up'
+        listener = self._listener = listen(self.address)
+
+        def accept() -> None:
+            while self._listener is listener:
+                try:
+                    sock, _ = listener.accept()
+                except (OSError, EOFError):
+                    break
+                configure(sock)
+                eventlet.spawn_n(self._serve, sock)
+            listener.close()
+
+        eventlet.spawn(accept)
+
+    def crash(self, how: str) -> None:
+        """Stop answering ('dark') or close everything ('down')."""
+        self.condition = how
+        if how == 'down' and self._listener is not None:
+            listener, self._listener = self._listener, None
+            sever(listener)
+            for sock in list(self._sockets):
+                sever(sock)
+
+    def position(self) -> Position:
+        """Return the position of what is applied."""
+        return self.log[self.applied - 1].position if self.applied else Position(1, 0)
+
+    def received(self) -> Position:
+        """Return the position of what was received."""
+        return self.log[-1].position if self.log else Position(1, 0)
+
+    def value(self, item: str) -> str:
+        """Return the data of an item in what is applied."""
+        for commit in reversed(self.log[: self.applied]):
+            for name, data, _ in commit.writes:
+                if name == item:
+                    return data
+        return ''
+
+    def _serve(self, sock: Any) -> None:
+        self._sockets.add(sock)
+        self.connections += 1
+        try:
+            _Connection(self, sock).run()
+        except (OSError, EOFError):
+            return
+        finally:
+            self.connections -= 1
+            self._sockets.discard(sock)
+            sock.close()
+
+    def work(self, seconds: float) -> None:
+        """Hold a slot for some time."""
+        with self._slots:
+            eventlet.sleep(seconds)
+
+
+class LineGroup:
+    """Members that replicate one log, with the terms of their primaries."""
+
+    def __init__(self, name: str, now_ms: Callable[[], int], seed: int = 0) -> None:
+        self.name = name
+        self.slots = 2
+        self.connection_limit = 16
+        self.work_s = 0.004
+        self.connect_s = 0.01
+        self.promote_s = 0.1
+        self.members: dict[str, LineMember] = {}
+        self.primary: LineMember | None = None
+        self.term = 1
+        #: Commits that a promotion rolled back.
+        self.rolled_back: list[Commit] = []
+        #: Members' connections by statement: member, organisation, statement id, text.
+        self.ran: list[tuple[str, str, str, str]] = []
+        #: Called when a member's entry in the store changes.
+        self.on_change: Callable[[LineMember], None] = lambda _: None
+        self.now_ms = now_ms
+        self.random = random.Random(seed)
+        self.receipts = itertools.count(1)
+
+    def add(self, name: str, address: Address, domain: str) -> LineMember:
+        """Add a member; the first one leads."""
+        member = self.members[name] = LineMember(self, name, address, domain)
+        self.primary = self.primary or member
+        return member
+
+    def commit(self, writes: tuple[tuple[str, str, str], ...]) -> Position:
+        """Append a commit at the primary and send it to the replicas."""
+        primary = self.primary
+        assert primary is not None
+        position = Position(self.term, primary.received().offset + 1)
+        entry = Commit(position, writes, self.now_ms())
+        primary.log.append(entry)
+        primary.applied = len(primary.log)
+        for member in self.members.values():
+            if member is not primary and member.condition == 'up':
+                member.log = [*primary.log]
+                eventlet.spawn_after(member.lag_s, self._apply, member, position)
+        return position
+
+    def promote(self, name: str) -> bool:
+        """Order a member to lead the next term; return whether it runs."""
+        member = self.members.get(name)
+        if member is None or member.condition != 'up':
+            return False
+        if member is not self.primary:
+            eventlet.spawn_after(self.promote_s, self._lead, member)
+        return True
+
+    def _lead(self, member: LineMember) -> None:
+        if member is self.primary or member.condition != 'up':
+            return
+        before, self.primary = self.primary, member
+        self.term += 1
+        kept = len(member.log)
+        if before is not None:
+            self.rolled_back += [entry for entry in before.log if entry not in member.log]
+        member.applied = kept
+        member.log.append(Commit(Position(self.term, member.received().offset + 1), (), 0))
+        member.applied = len(member.log)
+        for other in self.members.values():
+            if other is not member:
+                other.log = [*member.log]
+                other.applied = min(other.applied, len(other.log))
+                eventlet.spawn_after(other.lag_s, self._apply, other, member.received())
+            self.on_change(other)
+
+    def _apply(self, member: LineMember, position: Position) -> None:
+        while member.applied < len(member.log):
+            if member.log[member.applied].position > position:
+                return
+            member.applied += 1
+
+
+class _Connection:
+    """One connection of a caller to a member."""
+
+    def __init__(self, member: LineMember, sock: Any) -> None:
+        self._member = member
+        self._group = member.group
+        self._sock = sock
+        self._reader = LineReader(sock)
+        self._state = TxState.IDLE
+        self._plain = False
+        self._writes: list[tuple[str, str, str]] = []
+        self._prepared: dict[str, Statement] = {}
+        self._organisation = ''
+
+    def run(self) -> None:
+        word, _, rest = (self._reader.read() or '').partition(' ')
+        service, organisation, expected = [*rest.split(' '), '', ''][:3]
+        self._stay_dark()
+        member = self._member
+        if word != 'START' or service != self._group.name or expected not in ('', member.name):
+            self._sock.sendall(encode(f'ERR WRONGNODE {member.name}'))
+            return
+        if member.connections > self._group.connection_limit:
+            self._sock.sendall(encode(f'ERR TOOMANY {member.name}'))
+            return
+        member.work(self._group.connect_s)
+        self._organisation = organisation
+        self._sock.sendall(encode(ready(TxState.IDLE, member.position())))
+        while (line := self._reader.read()) is not None:
+            word, _, rest = line.partition(' ')
+            if word != 'QUERY':
+                return
+            statement_id, _, text = rest.partition(' ')
+            answer = self._answer(statement_id, text)
+            self._stay_dark()
+            if self._group.random.random() < member.lost_share:
+                eventlet.sleep(30)
+                return
+            self._sock.sendall(encode(*answer, ready(self._state, member.position())))
+
+    def _stay_dark(self) -> None:
+        while self._member.condition == 'dark':
+            eventlet.sleep(0.05)
+
+    def _answer(self, statement_id: str, text: str) -> list[str]:
+        member, group = self._member, self._group
+        if text.startswith('AFTER '):
+            _, wanted, text = text.split(' ', 2)
+            position = parse_position(wanted)
+            held = [entry.position for entry in member.log[: member.applied]]
+            if position is None or (position not in held and position.offset):
+                return [f'ERR LAGGING {member.name}']
+        if text == 'STATUS':
+            role = 'primary' if member.primary else 'replica'
+            row = f'ROW {role} {group.term} {format_position(member.received())} 0 0 0 1'
+            return [row, 'DONE -']
+        if text == 'RESET':
+            self._prepared.clear()
+            return ['DONE -']
+        statement = parse_query(f'{statement_id} {text}')
+        if statement is None:
+            return ['ERR MALFORMED not understood']
+        return self._run(statement)
+
+    def _run(self, statement: Statement) -> list[str]:
+        member = self._member
+        verb = statement.verb
+        if verb is Verb.EXECUTE:
+            prepared = self._prepared.get(statement.name)
+            if prepared is None:
+                return ['ERR NOSTMT no such name']
+            item, _, data = statement.argument.partition(' ')
+            verb = Verb.READ if prepared.read_only else Verb.WRITE
+            statement = statement._replace(name=item, argument=data)
+        if verb is Verb.ROLLBACK:
+            self._end()
+            return ['DONE -']
+        if self._plain and not member.primary and not (verb is Verb.COMMIT and not self._writes):
+            self._state = TxState.FAILED
+            return [f'ERR READONLY {member.name}']
+        if verb in (Verb.SET, Verb.DEALLOCATE):
+            return ['DONE -']
+        if verb is Verb.PREPARE:
+            self._prepared[statement.name] = statement
+            return ['DONE -']
+        if verb is Verb.BEGIN:
+            if not statement.read_only and not member.primary:
+                return [f'ERR READONLY {member.name}']
+            self._state, self._plain = TxState.OPEN, not statement.read_only
+            return ['DONE -']
+        if verb is Verb.WRITE and not member.primary:
+            return [f'ERR READONLY {member.name}']
+        member.work(self._group.work_s)
+        return self._finish(statement, verb)
+
+    def _finish(self, statement: Statement, verb: Verb) -> list[str]:
+        member, group = self._member, self._group
+        if member.condition == 'down':
+            raise ConnectionResetError
+        if (verb is Verb.WRITE or self._plain) and not member.primary:
+            return [f'ERR READONLY {member.name}']
+        group.ran.append((member.name, self._organisation, statement.id, statement.text))
+        rows = []
+        if verb is Verb.READ:
+            rows = [f'ROW {member.value(statement.name)}']
+        elif verb is Verb.WRITE:
+            self._writes.append((statement.name, statement.argument, statement.id))
+            if self._state is TxState.IDLE:
+                group.commit(tuple(self._writes))
+                self._writes.clear()
+        elif verb is Verb.COMMIT:
+            if self._writes:
+                group.commit(tuple(self._writes))
+            self._end()
+        return [*rows, f'DONE {member.name}.{next(group.receipts)}']
+
+    def _end(self) -> None:
+        self._state, self._plain = TxState.IDLE, False
+        self._writes.clear()
--- /dev/null
+++ b/godwitthread/standin/rows.py
@@ -0,0 +1,176 @@
+"""Stand-in for the platform's store of rows and its call for promotions."""
+
+from __future__ import annotations
+
+import base64
+import json
+import random
+from typing import TYPE_CHECKING, Any
+from urllib.parse import parse_qs
+
+from godwitthread.loop import eventlet
+from godwitthread.sockets import listen
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from godwitthread.address import Address
+
+#: Changes that the feed can go back.
+HISTORY = 10_000
+#: Interval at which a waiting feed looks for changes, in s.
+FEED_STEP_S = 0.02
+
+
+class RowStore:
+    """Rows with versions, a feed, and faults."""
+
+    def __init__(self, seed: int = 0) -> None:
+        self.revision = 1
+        #: How callers are refused, 'busy' or 'silent'; None while the store works.
+        self.down: str | None = None
+        self.delay_s = 0.0
+        #: Share of the writes whose answer is lost after they took effect.
+        self.lost_share = 0.0
+        self.calls = 0
+        self._rows: dict[tuple[str, str], tuple[str, int]] = {}
+        self._history: list[tuple[int, str, str]] = []
+        self._oldest = 0
+        self._random = random.Random(seed)
+
+    def put(self, table: str, key: str, value: Any) -> None:
+        """Write a row as the platform does."""
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self.revision += 1
+        self._write(table, key, base64.b64encode(data).decode())
+
+    def drop(self, table: str, key: str) -> None:
+        """Remove a row as the platform does."""
+        self.revision += 1
+        self._write(table, key, None)
+
+    def forget_history(self) -> None:
+        """Lose what the feed could tell of the past."""
+        self._oldest = self.revision
+        self._history.clear()
+
+    def application(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+        """Serve the store as a WSGI application."""
+        self.calls += 1
+        if self.delay_s:
+            eventlet.sleep(self.delay_s)
+        if self.down == 'silent':
+            eventlet.sleep(30)
+        if self.down:
+            return _answer(start_response, 503, {})
+        path = environ['PATH_INFO']
+        query = {
+            key: values[0] for key, values in parse_qs(environ.get('QUERY_STRING', '')).items()
+        }
+        if path == '/v1/rows-get':
+            return _answer(start_response, 200, self._get(query))
+        if path == '/v1/rows-feed':
+            return _answer(start_response, *self._feed(query))
+        if path == '/v1/rows-tx':
+            status, body = self._transact(json.loads(environ['wsgi.input'].read()))
+            if status == 200 and self._random.random() < self.lost_share:
+                eventlet.sleep(30)
+            return _answer(start_response, status, body)
+        return _answer(start_response, 404, {})
+
+    def _get(self, query: dict[str, str]) -> dict[str, Any]:
+        table, start = query['Table'], query.get('From', '')
+        rows = [
+            _row(table, key, value, revision)
+            for (name, key), (value, revision) in sorted(self._rows.items())
+            if name == table and key >= start
+        ]
+        page = int(query.get('PageSize', 500))
+        return {'rows': rows[:page], 'HasMore': len(rows) > page, 'Revision': self.revision}
+
+    def _feed(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
+        table, after = query['Table'], int(query['after'])
+        waited_s = 0.0
+        while True:
+            if after < self._oldest or after > self.revision:
+                return 410, {}
+            changed = {key for at, name, key in self._history if at > after and name == table}
+            if changed or waited_s * 1000 >= int(query.get('WaitTimeoutMs', 0)):
+                break
+            eventlet.sleep(FEED_STEP_S)
+            waited_s += FEED_STEP_S
+            if self.down:
+                return 503, {}
+        rows = []
+        for key in sorted(changed):
+            value, revision = self._rows.get((table, key), (None, self.revision))
+            rows.append(_row(table, key, value, revision))
+        return 200, {'rows': rows, 'Revision': self.revision}
+
+    def _transact(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        for row in body['ExpectedRev']:
+            _, revision = self._rows.get((row['Table'], row['Key']), (None, 0))
+            if revision != row['Revision']:
+                return 412, {'rows': []}
+        if any(row['Table'] in ('op', 'servers') for row in [*body['Writes'], *body['Remove']]):
+            return 403, {}
+        self.revision += 1
+        for row in body['Writes']:
+            self._write(row['Table'], row['Key'], row['Value'])
+        for row in body['Remove']:
+            self._write(row['Table'], row['Key'], None)
+        return 200, {'Revision': self.revision}
+
+    def _write(self, table: str, key: str, value: str | None) -> None:
+        if value is None:
+            self._rows.pop((table, key), None)
+        else:
+            self._rows[table, key] = value, self.revision
+        self._history.append((self.revision, table, key))
+        if len(self._history) > HISTORY:
+            self._oldest = self._history.pop(0)[0]
+
+
+class PromotionDesk:
+    """Take orders of promotions and check their fencing tokens."""
+
+    def __init__(self, promote: Callable[[str, str], bool]) -> None:
+        #: Orders in the order of their arrival: group, member, holder, token, accepted.
+        self.orders: list[tuple[str, str, str, int, bool]] = []
+        #: Whether answers are lost.
+        self.silent = False
+        self._promote = promote
+        self._newest: dict[str, int] = {}
+
+    def application(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+        """Serve the call as a WSGI application."""
+        body = json.loads(environ['wsgi.input'].read())
+        token = int(environ['HTTP_GODWITTHREAD_FENCING_TOKEN'])
+        holder = environ['HTTP_GODWITTHREAD_DUTY_HOLDER']
+        group, member = body['Service'], body['Id']
+        accepted = token >= self._newest.get(group, 0)
+        if accepted:
+            self._newest[group] = token
+            accepted = self._promote(group, member)
+        self.orders.append((group, member, holder, token, accepted))
+        if self.silent:
+            eventlet.sleep(30)
+        return _answer(start_response, 200 if accepted else 409, {})
+
+
+def serve(address: Address, application: Any) -> Any:
+    """Serve a WSGI application on an address and return its thread."""
+    return eventlet.spawn(eventlet.wsgi.server, listen(address), application, log_output=False)
+
+
+def _row(table: str, key: str, value: str | None, revision: int) -> dict[str, Any]:
+    row = {'Table': table, 'part': '', 'Key': key, 'Revision': revision}
+    return row | ({'Deleted': True} if value is None else {'Value': value})
+
+
+def _answer(start_response: Any, status: int, body: dict[str, Any]) -> Iterable[bytes]:
+    data = json.dumps(body).encode()
+    start_response(
+        f'{status} -', [('Content-Type', 'application/json'), ('Content-Length', str(len(data)))]
+    )
+    return [data]
--- /dev/null
+++ b/tests/test_gateway/test_dispatch.py
@@ -0,0 +1,159 @@
+"""Order of work and choice of members."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from godwitthread.core.dispatch import AHEAD, FIRST_LAG_MS, Dispatcher, MemberState, Work
+from godwitthread.types import Position
+
+
+def work(number: int, **changes) -> Work:
+    """Build a read that any member can run."""
+    made = Work(number, 'drivers', False, None, 0, 200, 1_000, 1)
+    return made._replace(**changes)
+
+
+def dispatcher(count: int = 3, slots: int = 2) -> Dispatcher:
+    """Build a dispatcher whose first member is the primary."""
+    made = Dispatcher()
+    for number in range(count):
+        made.members[f'm{number}'] = MemberState(f'm{number}', slots, f'd{number}')
+    made.primary = 'm0'
+    return made
+
+
+def test_work_for_the_primary_goes_nowhere_else():
+    """Guard against writes on replicas."""
+    made = dispatcher()
+    for number in range(10):
+        made.submit(0, work(number, primary=True))
+    assigned = made.assign(0)
+    assert {each.member for each in assigned} == {'m0'}
+    assert len(assigned) == 2 + AHEAD
+
+
+def test_reads_leave_the_primary_to_writes():
+    """Guard against writes that queue behind reads a replica could run."""
+    made = dispatcher()
+    for number in range(2):
+        made.submit(0, work(number))
+    assert {each.member for each in made.assign(0)} == {'m1', 'm2'}
+
+
+def test_work_that_can_meet_its_objective_goes_first():
+    """Guard against work that is late anyway and makes other work late."""
+    made = dispatcher(1, 1)
+    made.submit(300, work(1, objective_ms=200))
+    made.submit(300, work(2, objective_ms=600))
+    made.submit(300, work(3, objective_ms=400))
+    assert [each.work.number for each in made.assign(300)] == [3, 2]
+
+
+def test_a_replica_that_lacks_the_position_gets_no_read():
+    """Guard against stale reads and needless refusals."""
+    made = dispatcher(2)
+    made.members['m1'].position = Position(1, 4)
+    required = work(1, required=Position(1, 5), required_ms=0, avoid=frozenset({'m0'}))
+    made.submit(10, required)
+    assert made.assign(10) == []
+    made.members['m1'].position = Position(1, 5)
+    assert [each.member for each in made.assign(11)] == ['m1']
+
+
+def test_work_starts_when_the_lag_has_passed_to_the_millisecond():
+    """Guard against work that waits out its time, as no later look was planned."""
+    made = dispatcher(2)
+    made.submit(0, work(1, required=Position(1, 5), avoid=frozenset({'m0'})))
+    next_ms = made.next_change_ms(0)
+    assert next_ms == FIRST_LAG_MS
+    assert [each.member for each in made.assign(next_ms)] == ['m1']
+
+
+def test_work_that_cannot_start_in_time_is_refused_with_a_delay():
+    """Guard against work that is held until its caller gives up."""
+    made = dispatcher(1, 1)
+    made.members['m0'].service_ms = 100
+    refused = [made.submit(0, work(number, deadline_ms=350)) for number in range(8)]
+    assert refused[0] is None
+    assert refused[-1] is not None
+    assert refused[-1].retry_after_ms >= 350
+
+
+def test_work_for_a_lost_primary_does_not_delay_reads():
+    """Guard against reads that are refused while writes wait for a primary."""
+    made = dispatcher()
+    made.primary = None
+    for number in range(100):
+        assert made.submit(0, work(number, primary=True)) is None
+    assert made.submit(0, work(200, deadline_ms=20)) is None
+
+
+def test_a_member_that_fails_is_left_alone_for_a_while():
+    """Guard against work for a member that can't be reached."""
+    made = dispatcher(1)
+    made.members['m0'].begin(0)
+    made.members['m0'].fail(0)
+    made.submit(1, work(1))
+    assert made.assign(1) == []
+    next_ms = made.next_change_ms(1)
+    assert next_ms is not None
+    assert len(made.assign(next_ms)) == 1
+
+
+def test_a_cold_member_gets_work_at_its_rate():
+    """Guard against a cold member that is flooded after its start."""
+    made = dispatcher(1, 50)
+    state = made.members['m0']
+    state.cold_rate, state.cold_until_ms = 10.0, 5_000
+    started = 0
+    for now_ms in range(0, 1_000, 5):
+        made.submit(now_ms, work(now_ms, deadline_ms=now_ms + 4))
+        started += len(made.assign(now_ms))
+        made.expired(now_ms + 5)
+    assert started <= 11
+
+
+def test_silence_is_counted_over_statements_that_timed_out():
+    """Guard against a dark primary that never counts as silent."""
+    state = MemberState('m0', 2, 'd0')
+    state.begin(100)
+    state.fail(400)
+    state.begin(500)
+    assert state.asked_ms == 100
+    state.answer(600)
+    assert state.asked_ms == 600
+    state.end(700, 10.0, None)
+    assert state.asked_ms == 0
+
+
+@given(
+    st.lists(
+        st.tuples(st.booleans(), st.integers(0, 30), st.integers(0, 400), st.integers(1, 900)),
+        max_size=30,
+    ),
+    st.integers(1, 3),
+)
+def test_no_member_runs_more_than_its_slots(items, slots):
+    """Guard against members that queue what could wait here, and lost or doubled work."""
+    made = dispatcher(3, slots)
+    now_ms, seen = 0, set()
+    for number, (primary, offset, gap_ms, left_ms) in enumerate(items):
+        now_ms += gap_ms
+        required = Position(1, offset) if offset % 2 else None
+        new = work(
+            number,
+            primary=primary,
+            required=required,
+            required_ms=now_ms,
+            deadline_ms=now_ms + left_ms,
+        )
+        made.submit(now_ms, new)
+        for each in made.assign(now_ms):
+            assert each.work.number not in seen
+            assert not each.work.primary or each.member == 'm0'
+            seen.add(each.work.number)
+        assert all(state.running <= slots + AHEAD for state in made.members.values())
+        expired = {each.number for each in made.expired(now_ms)}
+        assert expired.isdisjoint(seen)
--- /dev/null
+++ b/tests/test_gateway/test_ownership.py
@@ -0,0 +1,61 @@
+"""Choice of owners."""
+
+from __future__ import annotations
+
+from godwitthread.address import Address
+from godwitthread.core.catalog import Peer
+from godwitthread.core.ownership import LEAST_CANDIDATES, Reach, candidates, has_majority, ranked
+
+UP = Reach(True)
+DOWN = Reach(False)
+CLOSED = Reach(False, refused=True)
+
+
+def peer(number: int, domains: int = 3, capacity: float = 1.0) -> Peer:
+    """Build the entry of an instance."""
+    name = f'gw-{number}'
+    return Peer(name, Address('10.0.0.1', number), f'd{number % domains}', capacity, 1)
+
+
+def test_candidates_are_fast_and_spread_over_failure_domains():
+    """Guard against owners on slow machines or in one failure domain."""
+    peers = [peer(number, capacity=2.0 if number < 30 else 0.5) for number in range(90)]
+    chosen = candidates(peers, 4)
+    assert len(chosen) == LEAST_CANDIDATES
+    assert {each.capacity for each in chosen} == {2.0}
+    assert {each.failure_domain for each in chosen} == {'d0', 'd1', 'd2'}
+    assert candidates(reversed(peers), 4) == chosen
+
+
+def test_the_owner_is_the_same_on_instances_with_the_same_reach():
+    """Guard against two owners of one group on a calm day."""
+    names = [f'gw-{number}' for number in range(9)]
+    reach = dict.fromkeys(names, UP)
+    assert ranked('group/a', names, reach) == ranked('group/a', names[::-1], reach)
+
+
+def test_instances_that_leave_or_are_not_ready_own_nothing():
+    """Guard against statements for an instance that is about to stop."""
+    reach = {'a': Reach(True, leaving=True), 'b': Reach(True, ready=False), 'c': UP, 'd': DOWN}
+    assert ranked('group/a', reach, reach) == ['c']
+
+
+def test_a_minority_owns_nothing():
+    """Guard against two sides of a partition that both grant a whole rate."""
+    names = [f'gw-{number}' for number in range(9)]
+    for cut in range(10):
+        sides = [names[:cut], names[cut:]]
+        owners = [
+            has_majority(names, {name: UP if name in side else DOWN for name in names})
+            for side in sides
+            if side
+        ]
+        assert sum(owners) == 1
+
+
+def test_processes_that_are_provably_gone_do_not_count():
+    """Guard against a stop of all work when most processes were killed."""
+    names = [f'gw-{number}' for number in range(9)]
+    reach = dict.fromkeys(names, CLOSED) | {'gw-0': UP}
+    assert has_majority(names, reach)
+    assert not has_majority(names, reach | {'gw-1': DOWN})
--- /dev/null
+++ b/tests/test_gateway/test_succession.py
@@ -0,0 +1,56 @@
+"""Reasons to replace a primary, and choice of its successor."""
+
+from __future__ import annotations
+
+import pytest
+
+from godwitthread.core.succession import (
+    REFUSED_MS,
+    SILENT_MS,
+    Candidate,
+    Signs,
+    reason_to_replace,
+    successor,
+)
+from godwitthread.types import Position
+
+HEALTHY = Signs('m0', True, False, False, 0, 0, True)
+
+
+@pytest.mark.parametrize(
+    ('changes', 'reason'),
+    [
+        ({}, None),
+        ({'primary': None}, 'no_primary'),
+        ({'draining': True}, 'draining'),
+        ({'evacuated': True}, 'evacuated'),
+        ({'refused_ms': REFUSED_MS}, 'refused'),
+        ({'refused_ms': REFUSED_MS - 1}, None),
+        ({'unanswered_ms': SILENT_MS}, 'silent'),
+        ({'unanswered_ms': SILENT_MS, 'others_answer': False}, None),
+        ({'listed': False}, None),
+        ({'listed': False, 'refused_ms': 1}, 'gone'),
+    ],
+)
+def test_reasons(changes, reason):
+    """Guard against needless changes of the primary, and against missed ones."""
+    assert reason_to_replace(HEALTHY._replace(**changes)) == reason
+
+
+def test_the_successor_received_most():
+    """Guard against a promotion that rolls back more commits than it must."""
+    members = [
+        Candidate('m0', Position(3, 9), usable=True),
+        Candidate('m1', Position(3, 7), usable=True),
+        Candidate('m2', Position(3, 8), usable=True),
+        Candidate('m3', Position(4, 1), usable=False),
+        Candidate('m4', None, usable=True),
+    ]
+    chosen = successor(members, 'm0')
+    assert chosen is not None
+    assert chosen.id == 'm2'
+
+
+def test_nobody_succeeds_without_a_known_position():
+    """Guard against a promotion of a member of which nothing is known."""
+    assert successor([Candidate('m1', None, usable=True)], 'm0') is None
