--- /dev/null
+++ b/tests/test_platform/test_lines.py
@@ -0,0 +1,86 @@
+"""Lines of the wire."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from godwitthread.core.statements import TxState, Verb
+from godwitthread.platform import lines
+from godwitthread.types import Position
+
+
+class Chunks:
+    """Socket that delivers given pieces."""
+
+    def __init__(self, pieces: list[bytes]) -> None:
+        self._pieces = list(pieces)
+
+    def recv(self, size: int) -> bytes:
+        return self._pieces.pop(0) if self._pieces else b''
+
+
+@given(st.lists(st.binary(min_size=1, max_size=12).filter(lambda b: b'\n' not in b)), st.data())
+def test_lines_survive_any_split(texts, data):
+    """Guard against lines that are joined or cut by the network."""
+    texts = [text.rstrip(b'\r') for text in texts]
+    whole = b''.join(text + b'\r\n' for text in texts)
+    pieces, start = [], 0
+    while start < len(whole):
+        end = data.draw(st.integers(start + 1, len(whole)))
+        pieces.append(whole[start:end])
+        start = end
+    reader = lines.LineReader(Chunks(pieces))
+    assert [reader.read() for _ in texts] == [text.decode('latin-1') for text in texts]
+    assert reader.read() is None
+
+
+def test_a_line_without_an_end_is_limited():
+    """Guard against a caller that fills the memory."""
+    reader = lines.LineReader(Chunks([b'x' * 600_000, b'x' * 600_000]))
+    with pytest.raises(lines.LineTooLongError):
+        reader.read()
+
+
+@pytest.mark.parametrize(
+    ('text', 'verb', 'name', 'argument', 'read_only'),
+    [
+        ('BEGIN', Verb.BEGIN, '', '', False),
+        ('BEGIN READ', Verb.BEGIN, '', '', True),
+        ('COMMIT', Verb.COMMIT, '', '', False),
+        ('ROLLBACK', Verb.ROLLBACK, '', '', False),
+        ('READ 1a4', Verb.READ, '1a4', '', False),
+        ('WRITE 1a4 a b c', Verb.WRITE, '1a4', 'a b c', False),
+        ('SET lang nb no', Verb.SET, 'lang', 'nb no', False),
+        ('PREPARE s1 WRITE q2c', Verb.PREPARE, 's1', 'q2c', False),
+        ('PREPARE s1 READ q2c', Verb.PREPARE, 's1', 'q2c', True),
+        ('EXEC s1 1a4 xkq', Verb.EXECUTE, 's1', '1a4 xkq', False),
+        ('DEALLOC s1', Verb.DEALLOCATE, 's1', '', False),
+    ],
+)
+def test_statements_are_decoded_once(text, verb, name, argument, read_only):
+    """Guard against statements that run as something else."""
+    statement = lines.parse_query(f'5c0e {text}')
+    assert statement is not None
+    assert (statement.id, statement.text, statement.verb) == ('5c0e', text, verb)
+    assert (statement.name, statement.argument, statement.read_only) == (name, argument, read_only)
+
+
+@pytest.mark.parametrize(
+    'text',
+    ['', '5c0e', '5c0e NONSENSE', '5c0e AFTER 3.1 READ a', '5c0e BEGIN WRITE', '5c0e COMMIT now',
+     '5c0e SET lang', '5c0e PREPARE s1 DROP q', '5c0e WRITE item', '5c0e STATUS', '5c0e RESET'],
+)  # fmt: skip
+def test_what_callers_may_not_send_is_not_understood(text):
+    """Guard against statements of the gateway's own that a caller smuggles in."""
+    assert lines.parse_query(text) is None
+
+
+def test_positions():
+    """Guard against positions that are read as something else."""
+    assert lines.parse_position('3.1207') == Position(3, 1207)
+    assert lines.parse_position('-') is None
+    assert lines.parse_position('x.1') is None
+    assert lines.ready(TxState.OPEN, Position(3, 9)) == 'READY T 3.9'
+    assert lines.ready(TxState.FAILED) == 'READY E -'
--- /dev/null
+++ b/tests/test_platform/test_settings.py
@@ -0,0 +1,49 @@
+"""Settings file of the platform."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from godwitthread.address import Address
+from godwitthread.platform import settings
+
+NODE = {
+    'Node': 'front-1', 'Zone': 'z1', 'Ip': '10.1.0.26',
+    'Listen': {'Front': '10.1.0.26:8465', 'Ready': '10.1.0.26:8460'},
+    'InternalPortRange': [7560, 7575], 'Limits': {'CpuShare': 0.5, 'Cores': 2},
+    'Bounds': {'GraceS': 6}, 'platform': {'Addr': '10.200.1.7:8466'},
+    'Cloud': {'Addr': '10.200.0.2:8466'}, 'Unheard': {'of': 1},
+}  # fmt: skip
+
+
+def test_a_settings_file_is_read(tmp_path):
+    """Guard against settings that are taken for something else."""
+    path = tmp_path / 'node.json'
+    path.write_text(json.dumps(NODE))
+    loaded = settings.load({'GODWITTHREAD_CONFIG': str(path)})
+    assert loaded.caller_address == Address('10.1.0.26', 8465)
+    assert loaded.peer_address == Address('10.1.0.26', 7560)
+    assert loaded.metrics_address == Address('10.1.0.26', 7575)
+    assert (loaded.capacity, loaded.grace_ms) == (1.0, 6_000)
+
+
+def test_all_mistakes_are_reported_at_once():
+    """Guard against an operator who finds one mistake a start."""
+    changed = NODE | {'Node': '', 'platform': {'Addr': 'store'}, 'Bounds': {}}
+    with pytest.raises(ExceptionGroup) as info:
+        settings.parse(changed)
+    texts = [str(exc) for exc in info.value.exceptions]
+    assert [text.split(':')[0] for text in texts] == ['Node', 'platform.Addr', 'Bounds.GraceS']
+
+
+@pytest.mark.parametrize('text', ['', '{', '[]'])
+def test_a_broken_file_is_refused(tmp_path, text):
+    """Guard against a trace in place of a message."""
+    path = tmp_path / 'node.json'
+    path.write_text(text)
+    with pytest.raises(ExceptionGroup):
+        settings.load({'GODWITTHREAD_CONFIG': str(path)})
+    with pytest.raises(ExceptionGroup):
+        settings.load({})
