--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -45,6 +45,11 @@
 #: Time after the start until an instance owns something although it has not reached all
 #: candidates, in ms. When all start at once, each would own everything otherwise.
 SETTLE_MS = 400
+#: Time for which a question for changes waits at a candidate, in ms. The next one goes to
+#: another candidate, so that one that hears nothing delays a version by no more than this.
+FOLLOW_MS = 1_000
+#: Interval at which a candidate looks for changes to answer with, in ms.
+VIEW_STEP_MS = 50
 #: Time without a majority after which callers are sent to other instances, in ms.
 MINORITY_MS = 400
 
@@ -53,6 +58,8 @@
     """Question for tables that the asking instance knows less of."""
 
     revisions: dict[str, int]
+    #: Time for which the answer may wait for something newer, in ms.
+    wait_ms: int = 0
 
 
 class ViewAnswer(NamedTuple):
@@ -112,10 +119,13 @@
         for table in self.view.tables():
             gap_ms = PEER_GAP_MS if table == PEER_TABLE else GAP_MS
             store = self._ports.store()
-            watcher = Watcher(table, gap_ms, store, self.view, self.log, self._relay)
+            watcher = Watcher(
+                table, gap_ms, store, self.view, self.log, self._relay, self._reads_store
+            )
             self._watchers.append(watcher)
             eventlet.spawn(watcher.run)
         eventlet.spawn(self._register)
+        eventlet.spawn(self._follow_peers)
         eventlet.spawn(self._tick_forever)
 
     def leave(self) -> None:
@@ -220,7 +230,7 @@
             request = _order_requests.decode(body)
             return self.duty.order(request.group, request.member)
         if kind == 'view':
-            return ViewAnswer(self.view.newer_than(_view_requests.decode(body).revisions))
+            return self._answer_view(_view_requests.decode(body))
         raise ProxyError(ErrorKind.NOT_FOUND, f'no handler for {kind}')
 
     def peer_ended(self, sender: str) -> None:
@@ -426,21 +436,58 @@
         except Exception as exc:
             self.log.failure('store_unavailable', table=PEER_TABLE, reason=str(exc))
 
+    def _reads_store(self) -> bool:
+        """Tell whether this instance reads the store, or hears from those that do.
+
+        Every call to the store is priced and its rate is shared by all, so that only
+        candidates read it, and whoever reaches none of them.
+        """
+        return self.peer.name in self._candidates or not any(
+            link.up for link in self._links.values()
+        )
+
+    def _follow_peers(self) -> None:
+        """Keep hearing from candidates, a different one each time."""
+        while True:
+            if self._reads_store():
+                eventlet.sleep(GAP_MS / 1000)
+            elif not self._ask_view(FOLLOW_MS):
+                eventlet.sleep(ROUTE_RETRY_MS / 1000)
+
     def _relay(self) -> None:
         """Ask a peer for what the store would have told."""
         now_ms = self.clock.now_ms()
+        if now_ms - self._relay_ms >= GAP_MS:
+            self._relay_ms = now_ms
+            self._ask_view(0)
+
+    def _ask_view(self, wait_ms: int) -> bool:
         names = [name for name, link in self._links.items() if link.up]
-        if not names or now_ms - self._relay_ms < GAP_MS:
-            return
-        self._relay_ms = now_ms
-        link = self._links[random.choice(names)]
+        if not names:
+            return False
+        near = [name for name in names if self._is_near(name)]
+        # Mostly a peer nearby, now and then another one: it may hear of changes itself late.
+        link = self._links[random.choice(near if near and random.random() < 0.5 else names)]
+        request = ViewRequest(self.view.revisions(), wait_ms)
         try:
-            body = link.call('view', ViewRequest(self.view.revisions()), CALL_TIMEOUT_MS)
+            body = link.call('view', request, wait_ms + CALL_TIMEOUT_MS)
         except ProxyError as exc:
             self.log.failure('peer_lost', peer=link.peer.name, reason=exc.message)
-            return
+            return False
         for snapshot in _view_answers.decode(body).tables:
             self.view.replace_from(snapshot)
+        return True
+
+    def _answer_view(self, request: ViewRequest) -> ViewAnswer:
+        end_ms = self.clock.now_ms() + request.wait_ms
+        while not (tables := self.view.newer_than(request.revisions)):
+            if self.clock.now_ms() >= end_ms:
+                break
+            eventlet.sleep(VIEW_STEP_MS / 1000)
+        return ViewAnswer(tables)
+
+    def _is_near(self, name: str) -> bool:
+        return self._links[name].peer.failure_domain == self.peer.failure_domain
 
     # Small parts
 
--- a/godwitthread/gateway/watching.py
+++ b/godwitthread/gateway/watching.py
@@ -43,6 +43,7 @@
         view: View,
         log: Log,
         relay: Callable[[], None],
+        reads_store: Callable[[], bool],
     ) -> None:
         self.table = table
         #: Whether the last call succeeded.
@@ -52,12 +53,17 @@
         self._view = view
         self._log = log
         self._relay = relay
+        #: Tells whether this instance reads the store itself.
+        self._reads_store = reads_store
         self._complete = False
         self._retry_ms = RETRY_MS
 
     def run(self) -> None:
         """Follow the table until the thread is killed."""
         while True:
+            if self._complete and not self._reads_store():
+                eventlet.sleep(RELAY_MS / 1000)
+                continue
             try:
                 self._follow()
             except HistoryLostError:
--- /dev/null
+++ b/tests/test_gateway/test_duty.py
@@ -0,0 +1,140 @@
+"""Duty of promotions."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from godwitthread.clock import Clock
+from godwitthread.errors import ErrorKind, ProxyError
+from godwitthread.gateway.duty import TOKENS, Duty, Holder, OrderAnswer, OrderRequest, order
+from godwitthread.gateway.ports import (
+    ConditionFailedError,
+    Ports,
+    PromotionResult,
+    StoredRow,
+    StoredRows,
+)
+from tests.test_gateway.fakes import quiet_log
+
+DONE = PromotionResult(done=True, final=True)
+UNKNOWN = PromotionResult(done=False, final=False)
+
+
+class OneRow:
+    """Store with one row and scripted failures."""
+
+    def __init__(self) -> None:
+        self.row: StoredRow | None = None
+        self.revision = 5
+        self.fail: ErrorKind | None = None
+        self.takes_effect = True
+
+    def table(self, table):
+        return StoredRows((self.row,) if self.row else (), self.revision)
+
+    def put(self, table, key, value, expected_revision=None):
+        if (self.row.revision if self.row else 0) != expected_revision:
+            raise ConditionFailedError
+        if self.fail is None or self.takes_effect:
+            self.revision += 1
+            self.row = StoredRow(key, value, self.revision)
+        if self.fail is not None:
+            raise ProxyError(self.fail, 'scripted')
+        return self.revision
+
+
+def duty(store: OneRow, name: str, incarnation: int = 1, results=None):
+    """Build the duty of an instance, and the list of the orders it gives."""
+    orders: list[tuple[str, int]] = []
+    script = list(results or [])
+
+    def promote(group, member, holder, token, timeout_ms):
+        orders.append((holder, token))
+        return script.pop(0) if script else DONE
+
+    ports = Ports(lambda *args: None, lambda: store, None, promote)
+    return Duty(name, incarnation, ports, quiet_log(Clock())), orders
+
+
+def test_no_token_is_used_by_two_holders_or_after_a_restart():
+    """Guard against an order of a former holder that passes as a new one."""
+    store = OneRow()
+    seen: list[int] = []
+    for name, incarnation in [('a', 1), ('b', 1), ('a', 2), ('a', 3)]:
+        made, orders = duty(store, name, incarnation)
+        made.take()
+        for _ in range(3):
+            made.order('g', 'm')
+        seen += [token for _, token in orders]
+    assert len(set(seen)) == len(seen)
+    assert seen == sorted(seen)
+
+
+def test_an_order_without_an_answer_is_fenced_off_by_the_next():
+    """Guard against an order that runs seconds later and takes the lead away."""
+    made, orders = duty(OneRow(), 'a', results=[UNKNOWN, UNKNOWN, DONE])
+    made.take()
+    assert made.order('g', 'm') == OrderAnswer(done=True, refused=False)
+    assert [token for _, token in orders] == [TOKENS, TOKENS + 1, TOKENS + 2]
+
+
+def test_tokens_are_at_hand_while_the_store_is_away():
+    """Guard against a primary that can't be replaced in an outage of the store."""
+    store = OneRow()
+    made, _ = duty(store, 'a')
+    made.take()
+    store.fail, store.takes_effect = ErrorKind.STORE_UNAVAILABLE, False
+    assert made.order('g', 'm').done
+
+
+def test_nobody_invents_a_token():
+    """Guard against an order without a duty."""
+    made, orders = duty(OneRow(), 'a')
+    with pytest.raises(ProxyError):
+        made.order('g', 'm')
+    assert orders == []
+
+
+def test_two_instances_do_not_take_the_duty_at_once():
+    """Guard against two holders with the same tokens."""
+    store = OneRow()
+    first, _ = duty(store, 'a')
+    second, _ = duty(store, 'b')
+    read = store.table('duties')
+    first.take()
+    store.table = lambda table: read
+    with pytest.raises(ProxyError):
+        second.take()
+    assert not second.held
+
+
+@pytest.mark.parametrize('takes_effect', [True, False])
+def test_a_write_without_an_answer_counts_only_when_it_is_seen(takes_effect):
+    """Guard against a holder that does not know whether it is one."""
+    store = OneRow()
+    store.fail, store.takes_effect = ErrorKind.STORE_UNKNOWN, takes_effect
+    made, _ = duty(store, 'a')
+    if takes_effect:
+        made.take()
+    else:
+        with pytest.raises(ProxyError):
+            made.take()
+    assert made.held is takes_effect
+
+
+def test_an_order_goes_through_the_holder_while_it_can_be_reached():
+    """Guard against a duty that changes hands needlessly."""
+    store = OneRow()
+    store.row = StoredRow('promotion', msgspec.json.encode(Holder('b', 7, 3000)), 4)
+    made, orders = duty(store, 'a')
+    asked = []
+
+    def ask(name, request):
+        asked.append(name)
+        return OrderAnswer(True, False)
+
+    assert order(made, 'a', OrderRequest('g', 'm'), ask, lambda name, run: True).done
+    assert (asked, orders) == (['b'], [])
+    assert order(made, 'a', OrderRequest('g', 'm'), ask, lambda name, run: False).done
+    assert [token for _, token in orders] == [3000 + TOKENS]
--- /dev/null
+++ b/tests/test_gateway/test_failover.py
@@ -0,0 +1,148 @@
+"""Replacement of a primary by the owner of its group."""
+
+from __future__ import annotations
+
+import eventlet
+import pytest
+
+from godwitthread.clock import Clock
+from godwitthread.core.statements import Refusal
+from godwitthread.errors import ErrorKind, ProxyError
+from godwitthread.gateway import failover
+from godwitthread.gateway.duty import OrderAnswer
+from godwitthread.types import Position
+from tests.test_gateway.fakes import GROUP, FakeGroup, members, quiet_log, request, runner
+
+
+@pytest.fixture
+def world(monkeypatch):
+    """Build a group with its runner and its failover; orders promote at once."""
+    monkeypatch.setattr(failover, 'UNKNOWN_MS', 0)
+    group = FakeGroup()
+    made = runner(group)
+    clock = Clock()
+    orders: list[str] = []
+
+    def order(request):
+        orders.append(request.member)
+        group.promote(request.member)
+        return OrderAnswer(True, False)
+
+    return group, made, failover.Failover(made, clock, quiet_log(clock), order), orders
+
+
+def settle(over) -> None:
+    """Let the failover run to its end."""
+    over.tick()
+    for _ in range(300):
+        eventlet.sleep(0.01)
+        if not over._running:
+            return
+
+
+def test_a_primary_that_refuses_connections_is_replaced_by_the_newest_replica(world):
+    """Guard against a group without a primary, and against lost commits."""
+    group, made, over, orders = world
+    made.run('a', request('READ i'))
+    group.applied['m1'], group.applied['m2'] = Position(1, 8), Position(1, 9)
+    group.unreachable.add('m0')
+    made.pools['m0'].refused_since_ms = 1
+    settle(over)
+    assert orders == ['m2']
+    assert made.last_primary == 'm2'
+    assert made.run('a', request('WRITE i x')).receipt == 'receipt-m2'
+
+
+def test_a_single_lost_answer_replaces_nobody(world):
+    """Guard against a needless change of the primary."""
+    group, made, over, orders = world
+    made.run('a', request('READ i'))
+    state = made.dispatcher.members['m0']
+    state.asked_ms = 1
+    made.dispatcher.members['m1'].answered_ms = Clock().now_ms()
+    settle(over)
+    assert orders == []
+    assert state.asked_ms == 0
+
+
+def test_a_silent_primary_is_replaced(world):
+    """Guard against writes that wait for a primary which is gone."""
+    group, made, over, orders = world
+    made.run('a', request('READ i'))
+    made.dispatcher.members['m0'].asked_ms = 1
+    made.dispatcher.members['m1'].answered_ms = Clock().now_ms()
+    group.script = [('BEGIN', Refusal.LOST)]
+    settle(over)
+    assert orders == ['m2']
+
+
+def test_a_draining_primary_hands_over_without_losing_a_commit(world):
+    """Guard against commits that only the leaving primary holds."""
+    group, made, over, orders = world
+    made.run('a', request('WRITE i x'))
+    entries = members(group)
+    entries['m0'] = entries['m0']._replace(draining=True)
+    made.update(GROUP, entries, set(), 3_000)
+    eventlet.spawn_after(0.1, group.catch_up)
+    settle(over)
+    assert len(orders) == 1
+    assert made.last_primary == orders[0]
+    assert group.applied[orders[0]].offset >= 11
+
+
+def test_work_waits_while_a_primary_hands_over(world):
+    """Guard against writes that fail during planned work."""
+    group, made, over, orders = world
+    made.run('a', request('WRITE i x'))
+    group.catch_up()
+    entries = members(group)
+    entries['m0'] = entries['m0']._replace(draining=True)
+    made.update(GROUP, entries, set(), 3_000)
+    over.tick()
+    result = made.run('a', request('WRITE i y', remaining_ms=2_000))
+    assert result.error == ''
+    assert result.receipt == f'receipt-{orders[0]}'
+
+
+def test_a_failed_order_lets_work_go_on_and_is_tried_again(world, monkeypatch):
+    """Guard against a hold that is never lifted."""
+    group, made, over, orders = world
+    monkeypatch.setattr(failover, 'ORDER_GAP_MS', 0)
+    made.run('a', request('READ i'))
+    made.pools['m0'].refused_since_ms = 1
+    good, over._order = over._order, _fail
+    settle(over)
+    assert not made.holding
+    over._order = good
+    settle(over)
+    assert len(orders) == 1
+
+
+def test_the_promoted_member_gets_work_only_when_it_leads(world):
+    """Guard against a member that is given up because it leads some time after the order."""
+    group, made, over, _ = world
+    made.run('a', request('READ i'))
+    made.pools['m0'].refused_since_ms = 1
+
+    def order(request):
+        eventlet.spawn_after(0.2, group.promote, request.member)
+        return OrderAnswer(True, False)
+
+    over._order = order
+    settle(over)
+    assert made.last_primary == group.primary != 'm0'
+
+
+def test_the_stale_claim_of_a_crashed_primary_does_not_return(world):
+    """Guard against work for a crashed primary whose entry still names it."""
+    group, made, _, _ = world
+    entries = members(group)
+    entries['m0'] = entries['m0']._replace(revision=4)
+    entries['m1'] = entries['m1']._replace(primary=True, revision=9)
+    for _ in range(2):
+        made.update(GROUP, entries, set(), 3_000)
+        assert made.last_primary == 'm1'
+
+
+def _fail(request):
+    raise ProxyError(ErrorKind.STORE_UNAVAILABLE, 'no store')
--- /dev/null
+++ b/tests/test_gateway/test_limits.py
@@ -0,0 +1,69 @@
+"""Admission at one instance."""
+
+from __future__ import annotations
+
+import eventlet
+
+from godwitthread.clock import Clock
+from godwitthread.core.allowance import Grant
+from godwitthread.core.catalog import Organisation
+from godwitthread.errors import ErrorKind, ProxyError
+from godwitthread.gateway.limits import Limits
+
+OWNER = Organisation('drivers', 50.0, 50.0)
+
+
+def make(ask) -> Limits:
+    """Build limits of one organisation."""
+    return Limits(Clock(), lambda name: OWNER if name == 'drivers' else None, ask)
+
+
+def test_a_refusal_of_the_granter_is_passed_on_at_once():
+    """Guard against refused operations that are held."""
+    limits = make(lambda request, timeout_ms: Grant(0, 300))
+    assert 0 < limits.admit('drivers', 20, 400) <= 300
+
+
+def test_an_operation_waits_for_a_granter_that_changes():
+    """Guard against refusals inside the rate while ownership moves."""
+    answers = [ProxyError(ErrorKind.MOVED, 'moved'), Grant(1, 0)]
+
+    def ask(request, timeout_ms):
+        answer = answers.pop(0)
+        if isinstance(answer, ProxyError):
+            raise answer
+        return answer
+
+    assert make(ask).admit('drivers', 0, 400) == 0
+
+
+def test_nothing_runs_without_a_granter():
+    """Guard against an instance that is cut off and uses what others use too."""
+
+    def ask(request, timeout_ms):
+        raise ProxyError(ErrorKind.BACKEND_UNAVAILABLE, 'cut')
+
+    assert make(ask).admit('drivers', 20, 100) > 0
+
+
+def test_operations_share_one_question():
+    """Guard against a question for each operation."""
+    asked = []
+
+    def ask(request, timeout_ms):
+        asked.append(request)
+        eventlet.sleep(0.02)
+        return Grant(10, 0)
+
+    limits = make(ask)
+    pool = eventlet.GreenPool()
+    results = list(pool.imap(lambda _: limits.admit('drivers', 100, 400), range(8)))
+    assert results == [0] * 8
+    assert len(asked) <= 2
+
+
+def test_this_instance_grants_within_the_rate():
+    """Guard against a granter that gives more than the limit."""
+    limits = make(lambda request, timeout_ms: limits.grant(request))
+    admitted = sum(limits.admit('drivers', 0, 0) == 0 for _ in range(100))
+    assert admitted <= 12
--- /dev/null
+++ b/tests/test_gateway/test_links.py
@@ -0,0 +1,131 @@
+"""Calls between instances."""
+
+from __future__ import annotations
+
+import eventlet
+import pytest
+from eventlet.green import socket
+
+from godwitthread.address import Address
+from godwitthread.clock import Clock
+from godwitthread.core.catalog import Peer
+from godwitthread.errors import ErrorKind, ProxyError
+from godwitthread.gateway import links
+from godwitthread.gateway.links import Condition, Hello, Link
+
+
+class Listener:
+    """Instance that answers calls on a loopback address."""
+
+    def __init__(self, handler) -> None:
+        self.sock = socket.socket()
+        self.sock.bind(('127.0.0.1', 0))
+        self.sock.listen(8)
+        self.handler = handler
+        self.inbound: set[links.Stream] = set()
+        self.ended: list[str] = []
+        self.condition = Condition(False, True)
+        self.thread = eventlet.spawn(self._accept)
+
+    @property
+    def peer(self) -> Peer:
+        return Peer('b', Address(*self.sock.getsockname()), 'd1', 1.0, 2)
+
+    def _accept(self) -> None:
+        while True:
+            conn, _ = self.sock.accept()
+            eventlet.spawn_n(
+                links.serve, conn, self.inbound, lambda: self.condition, self._handle,
+                self.ended.append,
+            )  # fmt: skip
+
+    def _handle(self, sender, kind, body):
+        return self.handler(sender, kind, body)
+
+
+@pytest.fixture(autouse=True)
+def green_sockets(monkeypatch):
+    """Let the module under test use cooperative sockets, as its process does."""
+    monkeypatch.setattr('godwitthread.sockets.socket', socket)
+
+
+def connected(listener: Listener, changes: list) -> Link:
+    """Build a link that is up."""
+    link = Link(
+        listener.peer, Hello('a', 1), Clock(), lambda: Condition(False, True),
+        lambda name, up: changes.append(up),
+    )  # fmt: skip
+    for _ in range(200):
+        if link.up and link.reach().ready:
+            return link
+        eventlet.sleep(0.01)
+    raise AssertionError('no link')
+
+
+def test_a_call_returns_the_answer_and_errors_keep_their_kind():
+    """Guard against outcomes that change on the way."""
+
+    def handler(sender, kind, body):
+        if kind == 'fail':
+            raise ProxyError(ErrorKind.MOVED, 'elsewhere')
+        return {'kind': kind}
+
+    listener = Listener(handler)
+    link = connected(listener, [])
+    assert bytes(link.call('echo', 1, 500)) == b'\x81\xa4kind\xa4echo'
+    with pytest.raises(ProxyError) as info:
+        link.call('fail', 1, 500)
+    assert info.value.kind is ErrorKind.MOVED
+    link.stop()
+
+
+def test_a_call_in_flight_fails_as_unknown_when_the_connection_ends():
+    """Guard against a statement that is taken as not run, or waits for its whole time."""
+    listener = Listener(lambda sender, kind, body: eventlet.sleep(5))
+    changes: list[bool] = []
+    link = connected(listener, changes)
+    eventlet.spawn_after(0.05, lambda: [stream.close() for stream in list(listener.inbound)])
+    with pytest.raises(ProxyError) as info:
+        link.call('slow', 1, 3_000)
+    assert info.value.kind is ErrorKind.CONNECTION_LOST
+    assert changes[-1] is False
+    link.stop()
+
+
+def test_nothing_is_sent_without_a_link():
+    """Guard against a statement that runs when the peer comes back."""
+    listener = Listener(lambda sender, kind, body: 1)
+    link = connected(listener, [])
+    link._lose()
+    with pytest.raises(ProxyError) as info:
+        link.call('echo', 1, 100)
+    assert info.value.kind is ErrorKind.BACKEND_UNAVAILABLE
+    link.stop()
+
+
+def test_every_connection_is_a_sender_of_its_own():
+    """Guard against a transaction that survives the loss of its instance's connection."""
+    senders = []
+    listener = Listener(lambda sender, kind, body: senders.append(sender))
+    for _ in range(2):
+        link = connected(listener, [])
+        link.call('echo', 1, 500)
+        link.stop()
+        eventlet.sleep(0.05)
+    assert len(set(senders)) == 2
+    assert sorted(listener.ended) == sorted(senders)
+
+
+def test_a_leaving_instance_tells_its_peers_at_once():
+    """Guard against statements for an instance that stops."""
+    listener = Listener(lambda sender, kind, body: 1)
+    changes: list[bool] = []
+    link = connected(listener, changes)
+    listener.condition = Condition(True, True)
+    links.tell(listener.inbound, listener.condition)
+    for _ in range(20):
+        eventlet.sleep(0.005)
+        if link.reach().leaving:
+            break
+    assert link.reach().leaving
+    link.stop()
--- /dev/null
+++ b/tests/test_gateway/test_sessions.py
@@ -0,0 +1,176 @@
+"""Sessions of callers."""
+
+from __future__ import annotations
+
+import pytest
+
+from godwitthread.clock import Clock
+from godwitthread.core.statements import (
+    Action,
+    Consistency,
+    Result,
+    Statement,
+    TxState,
+    Verb,
+    failure,
+)
+from godwitthread.errors import ErrorKind
+from godwitthread.gateway.sessions import Sessions
+from godwitthread.types import Position
+from tests.test_gateway.fakes import configuration, quiet_log, route
+
+
+class Owner:
+    """Record requests and answer them from a list."""
+
+    def __init__(self) -> None:
+        self.requests = []
+        self.results: list[Result] = []
+
+    def run(self, req, holder):
+        self.requests.append((req, holder))
+        result = self.results.pop(0) if self.results else Result(receipt='r', position=None)
+        return result, 'gw-1'
+
+    def actions(self) -> list[Action]:
+        return [req.action for req, _ in self.requests]
+
+
+def open_session(cfg=None, key='k1', database='orders-db'):
+    """Open a session before a recording owner."""
+    owner = Owner()
+    clock = Clock()
+    known = [cfg or configuration()]
+    sessions = Sessions(clock, lambda: known[0], owner.run, quiet_log(clock), lambda *args: None)
+    session, refusal = sessions.open(database, key)
+    return session, refusal, owner, known
+
+
+def statement(verb: Verb, text: str = '', **fields) -> Statement:
+    """Build a statement."""
+    return Statement('q', verb, text or verb.name, **fields)
+
+
+def test_unknown_databases_and_keys_are_refused():
+    """Guard against sessions that no configuration allows."""
+    assert open_session(database='nowhere')[1].error == ErrorKind.ROUTE_UNKNOWN.value
+    assert open_session(key='k9')[1].error == ErrorKind.KEY_INVALID.value
+
+
+def test_an_open_route_needs_no_key():
+    """Guard against keys that are asked of everybody."""
+    cfg = configuration()._replace(routes={'orders-db': route(open=True)})
+    session, refusal, owner, _ = open_session(cfg, key='nobody')
+    assert refusal is None
+    session.run(statement(Verb.READ, 'READ i', name='i'))
+    assert owner.requests[0][0].organisation == '-'
+
+
+def test_a_withdrawn_key_stops_a_session_that_is_open():
+    """Guard against keys that work on for callers already connected."""
+    session, _, owner, known = open_session()
+    known[0] = configuration(2, keys=('other',))
+    assert session.run(statement(Verb.READ, 'READ i', name='i')).error == 'key_invalid'
+    assert owner.requests == []
+
+
+def test_a_begun_transaction_keeps_its_route():
+    """Guard against a transaction that changes its group half way."""
+    session, _, owner, known = open_session()
+    session.run(statement(Verb.BEGIN))
+    known[0] = configuration(2)._replace(routes={'orders-db': route(group='elsewhere')})
+    session.run(statement(Verb.READ, 'READ i', name='i'))
+    session.run(statement(Verb.COMMIT))
+    session.run(statement(Verb.READ, 'READ i', name='i'))
+    assert [req.group for req, _ in owner.requests] == ['orders', 'orders', 'elsewhere']
+
+
+def test_begin_reaches_the_owner_with_the_first_statement():
+    """Guard against connections that are held by transactions which do nothing."""
+    session, _, owner, _ = open_session()
+    assert session.run(statement(Verb.BEGIN)).error == ''
+    assert session.state is TxState.OPEN
+    assert owner.requests == []
+    session.run(statement(Verb.READ, 'READ i', name='i'))
+    session.run(statement(Verb.COMMIT))
+    assert owner.actions() == [Action.IN_TRANSACTION, Action.COMMIT]
+    assert [req.first for req, _ in owner.requests] == [True, False]
+    assert [holder for _, holder in owner.requests] == [None, 'gw-1']
+    assert session.state is TxState.IDLE
+
+
+def test_a_session_remembers_the_position_of_its_commits():
+    """Guard against a session that does not see its own write."""
+    session, _, owner, _ = open_session()
+    owner.results = [Result(receipt='r', position=Position(1, 9))]
+    session.run(statement(Verb.WRITE, 'WRITE i x', name='i'))
+    session.run(statement(Verb.READ, 'READ i', name='i'))
+    assert owner.requests[-1][0].seen == Position(1, 9)
+
+
+def test_a_read_does_not_move_what_a_session_must_see():
+    """Guard against sessions that are bound to the primary by their reads."""
+    session, _, owner, _ = open_session()
+    owner.results = [Result(receipt='r', position=Position(1, 9))]
+    session.run(statement(Verb.READ, 'READ i', name='i'))
+    session.run(statement(Verb.READ, 'READ i', name='i'))
+    assert owner.requests[-1][0].seen is None
+
+
+def test_a_failed_transaction_answers_nothing_until_it_ends():
+    """Guard against statements that run outside the transaction they belong to."""
+    session, _, owner, _ = open_session()
+    session.run(statement(Verb.BEGIN))
+    owner.results = [failure(ErrorKind.TRANSACTION_LOST, 'lost', ended=True)]
+    assert session.run(statement(Verb.WRITE, 'WRITE i x', name='i')).error == 'transaction_lost'
+    assert session.state is TxState.FAILED
+    for verb in (Verb.READ, Verb.SET, Verb.BEGIN):
+        assert session.run(statement(verb)).error == 'malformed_request'
+    assert session.run(statement(Verb.COMMIT)).error == 'transaction_lost'
+    assert session.state is TxState.IDLE
+    assert len(owner.requests) == 1
+
+
+def test_a_transaction_that_only_reads_refuses_writes():
+    """Guard against a write in a transaction that may run on a replica."""
+    session, _, owner, _ = open_session()
+    session.run(statement(Verb.BEGIN, read_only=True))
+    result = session.run(statement(Verb.WRITE, 'WRITE i x', name='i'))
+    assert result.error == ErrorKind.READ_ONLY_ROUTE.value
+    assert owner.requests == []
+    assert session.state is TxState.FAILED
+
+
+def test_prepared_statements_and_values_belong_to_one_session():
+    """Guard against names that collide between callers."""
+    session, _, owner, _ = open_session()
+    session.run(statement(Verb.SET, name='lang', argument='nb'))
+    session.run(statement(Verb.PREPARE, name='s1', argument='q', read_only=True))
+    session.run(statement(Verb.EXECUTE, 'EXEC s1 i', name='s1', argument='i'))
+    req = owner.requests[0][0]
+    assert req.values == (('lang', 'nb'),)
+    assert (req.prepared.shape, req.prepared.read_only, req.arguments) == ('q', True, 'i')
+    session.run(statement(Verb.DEALLOCATE, name='s1'))
+    assert session.run(statement(Verb.EXECUTE, name='s1')).error == 'prepared_unknown'
+    assert session.run(statement(Verb.DEALLOCATE, name='s1')).error == 'prepared_unknown'
+
+
+def test_a_caller_that_leaves_rolls_back():
+    """Guard against transactions that stay open at a member."""
+    session, _, owner, _ = open_session()
+    session.run(statement(Verb.BEGIN))
+    session.run(statement(Verb.WRITE, 'WRITE i x', name='i'))
+    session.close()
+    assert owner.actions() == [Action.IN_TRANSACTION, Action.ROLLBACK]
+
+
+@pytest.mark.parametrize('kind', list(Consistency))
+def test_only_session_routes_carry_what_was_seen(kind):
+    """Guard against reads that wait for more than their route asks."""
+    cfg = configuration()._replace(routes={'orders-db': route(consistency=kind)})
+    session, _, owner, _ = open_session(cfg)
+    owner.results = [Result(receipt='r', position=Position(1, 9))]
+    session.run(statement(Verb.WRITE, 'WRITE i x', name='i'))
+    session.run(statement(Verb.READ, 'READ i', name='i'))
+    expected = Position(1, 9) if kind is Consistency.SESSION else None
+    assert owner.requests[-1][0].seen == expected
--- /dev/null
+++ b/tests/test_gateway/test_view.py
@@ -0,0 +1,128 @@
+"""What one instance knows of the store."""
+
+from __future__ import annotations
+
+import json
+
+from godwitthread.address import Address
+from godwitthread.clock import Clock
+from godwitthread.core.catalog import Peer
+from godwitthread.gateway import view as view_module
+from godwitthread.gateway.ports import Schema, StoredRow, StoredRows, Undecodable
+from godwitthread.gateway.view import PEER_TABLE, View, encode_peer
+from tests.test_gateway.fakes import configuration, member, quiet_log
+
+
+def decode_configuration(value):
+    """Decode a version number."""
+    return configuration(int(value)) if value.isdigit() else Undecodable('no number')
+
+
+def decode_member(name, value):
+    """Decode the address of a member."""
+    if not value:
+        return Undecodable('empty')
+    return member(name)._replace(address=Address(json.loads(value), 80))
+
+
+SCHEMA = Schema('op', 'servers', 'config', 'evacuate/', decode_configuration, decode_member)
+
+
+class Time:
+    """Time that a test sets."""
+
+    now_s = 100.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+
+def make():
+    """Build a view with a settable time."""
+    time = Time()
+    clock = Clock(time)
+    return View(SCHEMA, clock, quiet_log(clock), lambda table: None), time
+
+
+def rows(*pairs, revision):
+    """Build rows from (key, value) pairs."""
+    return StoredRows(tuple(StoredRow(key, value, revision) for key, value in pairs), revision)
+
+
+def test_a_configuration_never_goes_back():
+    """Guard against an older version that a peer or a late answer brings."""
+    view, _ = make()
+    view.replace('op', rows(('config', b'7'), revision=10))
+    view.replace('op', rows(('config', b'5'), revision=9))
+    assert view.configuration.version == 7
+    view.change('op', rows(('config', b'6'), revision=11))
+    assert view.configuration.version == 7
+
+
+def test_a_row_that_cannot_be_read_keeps_the_last_version():
+    """Guard against a deployment without a configuration after a broken row."""
+    view, _ = make()
+    view.replace('op', rows(('config', b'7'), revision=10))
+    view.change('op', rows(('config', b'\xff'), revision=11))
+    assert view.configuration.version == 7
+
+
+def test_evacuations_come_and_go():
+    """Guard against a failure domain that stays out."""
+    view, _ = make()
+    view.replace('op', rows(('evacuate/d1', b'{}'), ('config', b'1'), revision=5))
+    assert view.evacuated == {'d1'}
+    view.change('op', rows(('evacuate/d1', None), revision=6))
+    assert view.evacuated == set()
+
+
+def test_a_missing_member_stays_until_it_had_time_to_return():
+    """Guard against a group that is dropped because its entries lapsed in an outage."""
+    view, time = make()
+    view.replace('servers', rows(('m1', b'"10.0.0.1"'), revision=5))
+    view.replace('servers', rows(revision=6))
+    view.forget_missing()
+    assert 'm1' in view.members
+    time.now_s += view_module.MISSING_MS / 1000
+    view.forget_missing()
+    assert view.members == {}
+
+
+def test_a_member_that_returns_is_kept():
+    """Guard against a member that is dropped although it came back."""
+    view, time = make()
+    view.replace('servers', rows(('m1', b'"10.0.0.1"'), revision=5))
+    view.replace('servers', rows(revision=6))
+    view.replace('servers', rows(('m1', b'"10.0.0.1"'), revision=7))
+    time.now_s += 60
+    view.forget_missing()
+    assert 'm1' in view.members
+
+
+def test_a_member_whose_address_was_taken_is_gone_at_once():
+    """Guard against work for another member at an address that is used again."""
+    view, _ = make()
+    view.replace('servers', rows(('m1', b'"10.0.0.1"'), revision=5))
+    view.replace('servers', rows(('m2', b'"10.0.0.1"'), revision=6))
+    assert set(view.members) == {'m2'}
+
+
+def test_tables_pass_from_instance_to_instance():
+    """Guard against instances that the store refuses and that never hear of a change."""
+    first, _ = make()
+    second, _ = make()
+    peer = Peer('a', Address('10.0.0.1', 1), 'd1', 1.0, 5)
+    first.replace('op', rows(('config', b'7'), revision=10))
+    first.replace(PEER_TABLE, rows(('a', encode_peer(peer)), revision=10))
+    for snapshot in first.newer_than(second.revisions()):
+        second.replace_from(snapshot)
+    assert second.configuration.version == 7
+    assert second.peers == {'a': peer}
+    assert first.newer_than(second.revisions()) == ()
+
+
+def test_a_row_that_is_no_instance_is_ignored():
+    """Guard against a process that ends over a row of another writer."""
+    view, _ = make()
+    view.replace(PEER_TABLE, rows(('a', b'{"name": 1}'), ('b', b''), revision=3))
+    assert view.peers == {}
