--- a/godwitthread/cmd/main.py
+++ b/godwitthread/cmd/main.py
@@ -14,7 +14,7 @@
     from cleo.commands.command import Command
 
 #: Modules of this package that define commands.
-MODULES = ('serve', 'demo', 'standin', 'manifest', 'status', 'timeline', 'completion')
+MODULES = ('serve', 'platform', 'demo', 'standin', 'manifest', 'status', 'timeline', 'completion')
 
 
 def commands() -> list[type[Command]]:
--- /dev/null
+++ b/godwitthread/cmd/platform.py
@@ -0,0 +1,38 @@
+"""Command that serves callers on the users' platform."""
+
+from __future__ import annotations
+
+import os
+import sys
+
+from cleo.commands.command import Command
+from cleo.helpers import option
+
+from godwitthread.platform import program, settings
+
+
+class PlatformCommand(Command):
+    """Run one gateway instance."""
+
+    name = 'platform'
+    description = 'Run one gateway instance on the platform until SIGTERM.'
+    help = f'The settings file is named by {settings.PATH_VARIABLE}.'
+    options = [
+        option('check', None, 'check the settings file and stop', flag=True),
+    ]
+
+    def handle(self) -> int:
+        """Check the settings, and serve unless only the check was asked for."""
+        if not self.option('check'):
+            return program.main()
+        try:
+            settings.load(os.environ)
+        except ExceptionGroup as group:
+            for exc in group.exceptions:
+                print(f'godwitthread: {exc}', file=sys.stderr)
+            return program.BAD_SETTINGS
+        print('settings accepted')
+        return 0
+
+
+COMMANDS: list[type[Command]] = [PlatformCommand]
--- a/godwitthread/core/succession.py
+++ b/godwitthread/core/succession.py
@@ -4,10 +4,11 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from godwitthread.types import Position
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from godwitthread.types import Position
 
 #: Time without any answer of a primary that was asked, before it is asked once more and
 #: then counts as lost, in ms. Longer than a statement with a long tail, and short enough
--- a/godwitthread/gateway/failover.py
+++ b/godwitthread/gateway/failover.py
@@ -189,10 +189,8 @@
         pool = eventlet.GreenPool()
         others = [each for each in self._runner.members if each != self._runner.last_primary]
         chosen = successor(pool.imap(self._ask, others), self._runner.last_primary)
-        if wanted is not None and chosen is not None:
-            if chosen.received is None or chosen.received < wanted:
-                return None
-        return chosen
+        behind = chosen is None or chosen.received is None or (wanted and chosen.received < wanted)
+        return None if behind else chosen
 
     def _ask(self, member_id: str) -> Candidate:
         member = self._runner.members.get(member_id)
--- /dev/null
+++ b/godwitthread/gateway/member_group.py
@@ -0,0 +1,340 @@
+"""Members of one group as one instance sees and uses them."""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING
+
+from godwitthread.core.dispatch import Dispatcher, MemberState, Work
+from godwitthread.core.evidence import Evidence
+from godwitthread.core.statements import NOT_RUN, Refusal, Reply, Result, RunRequest, failure
+from godwitthread.errors import ErrorKind
+from godwitthread.gateway.members import MemberPool
+from godwitthread.gateway.ports import NotConnectedError
+from godwitthread.loop import eventlet
+
+if TYPE_CHECKING:
+    from godwitthread.clock import Clock
+    from godwitthread.core.catalog import Group, Member
+    from godwitthread.gateway.logs import Log
+    from godwitthread.gateway.ports import Connection, Ports
+    from godwitthread.types import Position
+
+#: Share of the time of a statement that it may wait for a member before it is refused,
+#: so that the caller has time to come back.
+HOLD_SHARE = 0.45
+#: Pause after a member was busy, in ms; about one statement's service time.
+BUSY_PAUSE_MS = 10
+#: Limit of a statement of the gateway's own, in ms.
+OWN_TIMEOUT_MS = 400
+
+
+class MemberGroup:
+    """Keep connections, load, log positions and the primary of a group's members."""
+
+    def __init__(self, name: str, clock: Clock, ports: Ports, log: Log) -> None:
+        self.name = name
+        self.dispatcher = Dispatcher()
+        self.evidence = Evidence()
+        self.pools: dict[str, MemberPool] = {}
+        self.members: dict[str, Member] = {}
+        #: Members whose failure domain is to be left, with the time since when, in ms.
+        self.evacuated: dict[str, int] = {}
+        #: Whether work for the primary waits for a change of the primary.
+        self.holding = False
+        #: Member that was the primary last.
+        self.last_primary: str | None = None
+        self._clock = clock
+        self._ports = ports
+        self._log = log
+        self._group: Group | None = None
+        self._tx_idle_ms = 0
+        self._numbers = itertools.count(1)
+        self._events: dict[int, eventlet.event.Event] = {}
+        self._probing: eventlet.event.Event | None = None
+        #: Time of the last read that relied on evidence, in ms.
+        self._bounded_ms = 0
+        #: Members whose entry still claims the lead that they have lost.
+        self._deposed: set[str] = set()
+        self._timer: eventlet.greenthread.GreenThread | None = None
+        self._timer_ms = 0
+
+    def update(
+        self,
+        group: Group,
+        members: dict[str, Member],
+        evacuated_domains: set[str],
+        tx_idle_ms: int,
+    ) -> None:
+        """Take in the members of the group and how they may be used."""
+        self._group, self._tx_idle_ms = group, tx_idle_ms
+        now_ms = self._clock.now_ms()
+        for member_id, member in members.items():
+            known = self.members.get(member_id)
+            if known is None or (known.born, known.address) != (member.born, member.address):
+                self._add(now_ms, member)
+            state = self.dispatcher.members[member_id]
+            state.usable = not member.draining and member.failure_domain not in evacuated_domains
+            state.cold_rate = group.cold_rate
+            self.pools[member_id].limit = group.connection_limit
+        for member_id in self.members.keys() - members.keys():
+            self._drop(member_id)
+        self.members = dict(members)
+        self.evacuated = {
+            each.id: self.evacuated.get(each.id, now_ms)
+            for each in members.values()
+            if each.failure_domain in evacuated_domains
+        }
+        self._find_primary(now_ms)
+        self.pump()
+
+    def rest(self) -> None:
+        """Close idle connections, since another instance owns the group now."""
+        for pool in self.pools.values():
+            pool.close_idle()
+
+    def resume(self) -> None:
+        """Keep connections, since this instance owns the group."""
+        for pool in self.pools.values():
+            pool.reopen()
+
+    def any_organisation(self) -> str | None:
+        """Return an organisation that uses the group, None if there is none yet."""
+        names = (pool.any_organisation() for pool in self.pools.values())
+        return next((name for name in names if name), None)
+
+    def promoted(self, member_id: str) -> None:
+        """Note that a member leads after an order of this instance."""
+        self._deposed.discard(member_id)
+        for other in self.members.keys() - {member_id}:
+            self._depose(other)
+        self._set_primary(member_id)
+
+    def leads(self, member_id: str) -> bool:
+        """Ask a member whether it is the primary; every answer counts as a sign of life."""
+        pool = self.pools.get(member_id)
+        state = self.dispatcher.members.get(member_id)
+        organisation = self.any_organisation()
+        if pool is None or state is None or organisation is None:
+            return False
+        sent_ms = self._clock.now_ms()
+        try:
+            conn = pool.lend(organisation, {}, OWN_TIMEOUT_MS)
+        except NotConnectedError as exc:
+            self._log.failure('evidence_not_renewed', member=member_id, reason=exc.refusal.value)
+            return False
+        reply = conn.begin(False, None, OWN_TIMEOUT_MS)
+        if reply.refusal is not Refusal.LOST:
+            state.answer(self._clock.now_ms())
+        if reply.refusal is None:
+            self._prove(member_id, sent_ms, reply)
+            conn.rollback(OWN_TIMEOUT_MS)
+        self._release(member_id, conn)
+        return reply.refusal is None
+
+    def hold(self, holding: bool) -> None:
+        """Let work for the primary wait, or go on."""
+        self.holding = holding
+        self.dispatcher.primary = None if holding else self.last_primary
+        self.pump()
+
+    def unanswered_ms(self, member_id: str) -> int:
+        """Return for how long a member that was asked has not answered at all, in ms."""
+        state = self.dispatcher.members.get(member_id)
+        if state is None or not state.asked_ms:
+            return 0
+        return self._clock.now_ms() - state.asked_ms
+
+    def renew_evidence(self) -> None:
+        """Ask the primary for its position; several callers share one attempt."""
+        if self._probing is not None:
+            self._probing.wait()
+            return
+        primary = self.last_primary
+        state = self.dispatcher.members.get(primary or '')
+        if state is None or primary is None:
+            return
+        if self._clock.now_ms() < state.paused_until_ms:
+            return
+        done = self._probing = eventlet.event.Event()
+        answered_ms = state.answered_ms
+        try:
+            if not self.leads(primary) and state.answered_ms > answered_ms:
+                self._lost_lead(primary)
+        finally:
+            self._probing = None
+            done.send()
+
+    def pump(self) -> None:
+        """Hand waiting work to members that can take it."""
+        now_ms = self._clock.now_ms()
+        for assignment in self.dispatcher.assign(now_ms):
+            event = self._events.pop(assignment.work.number, None)
+            if event is not None:
+                event.send(assignment.member)
+        next_ms = self.dispatcher.next_change_ms(now_ms)
+        if next_ms is None or (self._timer is not None and self._timer_ms <= next_ms):
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_ms = next_ms
+        self._timer = eventlet.spawn_after((next_ms - now_ms) / 1000, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        self.pump()
+
+    def _wait(self, work: Work) -> str | Result:
+        now_ms = self._clock.now_ms()
+        refused = self.dispatcher.submit(now_ms, work)
+        if refused is not None:
+            return failure(
+                ErrorKind.OVERLOADED, 'the queue is too long', refused.retry_after_ms, True
+            )
+        event = self._events[work.number] = eventlet.event.Event()
+        self.pump()
+        with eventlet.Timeout(max(1, work.deadline_ms - now_ms) / 1000, False):
+            member_id: str = event.wait()
+            return member_id
+        self._events.pop(work.number, None)
+        if not self.dispatcher.withdraw(work.number):
+            # Assigned in the same turn of the loop.
+            return str(event.wait())
+        text = 'no primary' if work.primary and not self.dispatcher.primary else 'no free member'
+        return failure(ErrorKind.BACKEND_UNAVAILABLE, text, BUSY_PAUSE_MS, True)
+
+    def _connect(self, member_id: str, req: RunRequest, deadline_ms: int) -> Connection | None:
+        pool = self.pools.get(member_id)
+        try:
+            if pool is None:
+                raise NotConnectedError(Refusal.UNREACHABLE, 'member left')
+            left_ms = int(self._left_ms(deadline_ms) * HOLD_SHARE)
+            return pool.lend(req.organisation, dict(req.values), left_ms)
+        except NotConnectedError as exc:
+            self._log.failure(
+                'connection_refused', member=member_id, reason=exc.refusal.value, detail=str(exc)
+            )
+            state = self.dispatcher.members.get(member_id)
+            if state is not None:
+                state.fail(self._clock.now_ms())
+            self.pump()
+            return None
+
+    def _finish(self, member_id: str, conn: Connection, sent_ms: int, reply: Reply) -> None:
+        self._count(member_id, sent_ms, reply)
+        self._release(member_id, conn)
+
+    def _count(self, member_id: str, sent_ms: int, reply: Reply, timed: bool = True) -> None:
+        state = self.dispatcher.members.get(member_id)
+        if state is None:
+            return
+        now_ms = self._clock.now_ms()
+        if reply.refusal in (Refusal.LOST, Refusal.UNREACHABLE):
+            state.fail(now_ms)
+        else:
+            ran = timed and (reply.refusal is None or reply.refusal not in NOT_RUN)
+            state.end(now_ms, now_ms - sent_ms if ran else None, reply.position)
+        self.pump()
+
+    def _release(self, member_id: str, conn: Connection) -> None:
+        pool = self.pools.get(member_id)
+        if pool is None:
+            conn.close()
+        else:
+            pool.give_back(conn)
+
+    def _not_run(self, member_id: str, reply: Reply, work: Work | None = None) -> None:
+        state = self.dispatcher.members.get(member_id)
+        now_ms = self._clock.now_ms()
+        if reply.refusal is Refusal.READ_ONLY:
+            self._lost_lead(member_id)
+        elif reply.refusal is Refusal.BEHIND and state is not None and work is not None:
+            state.behind(now_ms - work.required_ms)
+        elif reply.refusal in (Refusal.BUSY, Refusal.BEHIND) and state is not None:
+            state.paused_until_ms = now_ms + BUSY_PAUSE_MS
+        self.pump()
+
+    def _prove(self, member_id: str, sent_ms: int, reply: Reply) -> None:
+        if reply.position is not None:
+            self.evidence.note(sent_ms, reply.position)
+
+    def _required(self, req: RunRequest) -> Position | None:
+        """Return the position that a read must see, None if it is not known."""
+        now_ms = self._clock.now_ms()
+        self._bounded_ms = now_ms
+        bound = self.evidence.bound(now_ms, req.max_age_ms)
+        if bound is None:
+            self.renew_evidence()
+            bound = self.evidence.bound(self._clock.now_ms(), req.max_age_ms)
+        if bound is None:
+            return None
+        return self.evidence.required(bound, req.seen)
+
+    def _find_primary(self, now_ms: int) -> None:
+        claims = [
+            member.id
+            for member in self.members.values()
+            if member.primary and member.id not in self._deposed
+        ]
+        for member in self.members.values():
+            if not member.primary:
+                # It sees itself as a replica, so a later claim is a new one.
+                self._deposed.discard(member.id)
+        if claims:
+            self._set_primary(max(claims, key=self._rank_claim))
+        elif self.last_primary not in self.members:
+            self._set_primary(None)
+
+    def _rank_claim(self, member_id: str) -> tuple[int, int]:
+        """Rank by the term seen in answers, then by the time of the entry.
+
+        A crashed primary's entry still claims the lead for a while.
+        """
+        state = self.dispatcher.members[member_id]
+        term = state.position.term if state.position else 0
+        return term, self.members[member_id].revision
+
+    def _lost_lead(self, member_id: str) -> None:
+        self._depose(member_id)
+        if member_id == self.last_primary:
+            self._set_primary(None)
+            self._find_primary(self._clock.now_ms())
+
+    def _depose(self, member_id: str) -> None:
+        """Void the claim that a member's entry makes now; a later one counts again."""
+        member = self.members.get(member_id)
+        if member is not None and member.primary:
+            self._deposed.add(member_id)
+
+    def _set_primary(self, member_id: str | None) -> None:
+        if member_id == self.last_primary:
+            return
+        self._log.event('primary_changed', group=self.name, member=member_id or '')
+        self.last_primary = member_id
+        self.dispatcher.primary = None if self.holding else member_id
+        self.pump()
+
+    def _add(self, now_ms: int, member: Member) -> None:
+        self._drop(member.id)
+        state = MemberState(member.id, member.slots, member.failure_domain)
+        state.cold_until_ms = now_ms + member.cold_ms
+        self.dispatcher.members[member.id] = state
+        limit = self._group.connection_limit if self._group else 1
+        self.pools[member.id] = MemberPool(
+            member, limit, self._clock, self._ports.connect, self._greeted
+        )
+        self._deposed.discard(member.id)
+
+    def _drop(self, member_id: str) -> None:
+        self.dispatcher.members.pop(member_id, None)
+        pool = self.pools.pop(member_id, None)
+        if pool is not None:
+            pool.close_idle()
+
+    def _greeted(self, member_id: str, reply: Reply) -> None:
+        state = self.dispatcher.members.get(member_id)
+        if state is not None:
+            state.see(reply.position)
+
+    def _left_ms(self, deadline_ms: int) -> int:
+        return max(1, deadline_ms - self._clock.now_ms())
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -16,11 +16,13 @@
 from godwitthread.gateway import links
 from godwitthread.gateway.duty import Duty, OrderAnswer, OrderRequest
 from godwitthread.gateway.failover import Failover
-from godwitthread.gateway.groups import HOLD_SHARE, TICK_MS, GroupRunner
+from godwitthread.gateway.following import CALL_TIMEOUT_MS, Follower, ViewRequest
+from godwitthread.gateway.groups import TICK_MS, GroupRunner
 from godwitthread.gateway.limits import GrantRequest, Limits
 from godwitthread.gateway.links import Condition, Hello, Link
+from godwitthread.gateway.member_group import HOLD_SHARE
 from godwitthread.gateway.sessions import ANONYMOUS, Sessions
-from godwitthread.gateway.view import PEER_TABLE, Snapshot, View, encode_peer
+from godwitthread.gateway.view import PEER_TABLE, View, encode_peer
 from godwitthread.gateway.watching import GAP_MS, PEER_GAP_MS, Watcher
 from godwitthread.loop import eventlet
 
@@ -35,8 +37,6 @@
 ROUTE_RETRY_MS = 30
 #: Time beyond a statement's own limit that its answer from another instance may take, in ms.
 CALL_SLACK_MS = 150
-#: Limit of calls between instances that are not statements, in ms.
-CALL_TIMEOUT_MS = 300
 #: Limit of an order that another instance carries out, in ms: the sum of all its tries.
 ORDER_TIMEOUT_MS = duties.ORDER_TIMEOUT_MS * (2**duties.MOST_ORDERS - 1)
 #: Time that a registered peer must be out of reach before its entry is removed, in ms.
@@ -45,29 +45,10 @@
 #: Time after the start until an instance owns something although it has not reached all
 #: candidates, in ms. When all start at once, each would own everything otherwise.
 SETTLE_MS = 400
-#: Time for which a question for changes waits at a candidate, in ms. The next one goes to
-#: another candidate, so that one that hears nothing delays a version by no more than this.
-FOLLOW_MS = 1_000
-#: Interval at which a candidate looks for changes to answer with, in ms.
-VIEW_STEP_MS = 50
 #: Time without a majority after which callers are sent to other instances, in ms.
 MINORITY_MS = 400
 
 
-class ViewRequest(NamedTuple):
-    """Question for tables that the asking instance knows less of."""
-
-    revisions: dict[str, int]
-    #: Time for which the answer may wait for something newer, in ms.
-    wait_ms: int = 0
-
-
-class ViewAnswer(NamedTuple):
-    """Tables that are newer than what was asked about."""
-
-    tables: tuple[Snapshot, ...]
-
-
 _run_requests = msgspec.msgpack.Decoder(RunRequest)
 _results = msgspec.msgpack.Decoder(Result)
 _grant_requests = msgspec.msgpack.Decoder(GrantRequest)
@@ -75,7 +56,6 @@
 _order_requests = msgspec.msgpack.Decoder(OrderRequest)
 _order_answers = msgspec.msgpack.Decoder(OrderAnswer)
 _view_requests = msgspec.msgpack.Decoder(ViewRequest)
-_view_answers = msgspec.msgpack.Decoder(ViewAnswer)
 
 
 class Node:
@@ -95,6 +75,7 @@
         self._settled = False
         self._minority_since_ms = 0
         self.view = View(ports.schema, clock, log, self._on_view)
+        self.follower = Follower(self.view, clock, log, self._near_and_all, self._reads_store)
         self.sessions = Sessions(
             clock, lambda: self.view.configuration, self.run, log, metrics.observe
         )
@@ -109,7 +90,6 @@
         self._organisations: dict[str, Organisation] = {}
         self._down_since_ms: dict[str, int] = {}
         self._registered_revision = 0
-        self._relay_ms = 0
         self._hello = Hello(peer.name, peer.incarnation)
 
     # Life
@@ -120,12 +100,12 @@
             gap_ms = PEER_GAP_MS if table == PEER_TABLE else GAP_MS
             store = self._ports.store()
             watcher = Watcher(
-                table, gap_ms, store, self.view, self.log, self._relay, self._reads_store
+                table, gap_ms, store, self.view, self.log, self.follower.relay, self._reads_store
             )
             self._watchers.append(watcher)
             eventlet.spawn(watcher.run)
         eventlet.spawn(self._register)
-        eventlet.spawn(self._follow_peers)
+        eventlet.spawn(self.follower.run)
         eventlet.spawn(self._tick_forever)
 
     def leave(self) -> None:
@@ -230,7 +210,7 @@
             request = _order_requests.decode(body)
             return self.duty.order(request.group, request.member)
         if kind == 'view':
-            return self._answer_view(_view_requests.decode(body))
+            return self.follower.answer(_view_requests.decode(body))
         raise ProxyError(ErrorKind.NOT_FOUND, f'no handler for {kind}')
 
     def peer_ended(self, sender: str) -> None:
@@ -436,6 +416,8 @@
         except Exception as exc:
             self.log.failure('store_unavailable', table=PEER_TABLE, reason=str(exc))
 
+    # Small parts
+
     def _reads_store(self) -> bool:
         """Tell whether this instance reads the store, or hears from those that do.
 
@@ -446,50 +428,11 @@
             link.up for link in self._links.values()
         )
 
-    def _follow_peers(self) -> None:
-        """Keep hearing from candidates, a different one each time."""
-        while True:
-            if self._reads_store():
-                eventlet.sleep(GAP_MS / 1000)
-            elif not self._ask_view(FOLLOW_MS):
-                eventlet.sleep(ROUTE_RETRY_MS / 1000)
-
-    def _relay(self) -> None:
-        """Ask a peer for what the store would have told."""
-        now_ms = self.clock.now_ms()
-        if now_ms - self._relay_ms >= GAP_MS:
-            self._relay_ms = now_ms
-            self._ask_view(0)
-
-    def _ask_view(self, wait_ms: int) -> bool:
-        names = [name for name, link in self._links.items() if link.up]
-        if not names:
-            return False
-        near = [name for name in names if self._is_near(name)]
-        # Mostly a peer nearby, now and then another one: it may hear of changes itself late.
-        link = self._links[random.choice(near if near and random.random() < 0.5 else names)]
-        request = ViewRequest(self.view.revisions(), wait_ms)
-        try:
-            body = link.call('view', request, wait_ms + CALL_TIMEOUT_MS)
-        except ProxyError as exc:
-            self.log.failure('peer_lost', peer=link.peer.name, reason=exc.message)
-            return False
-        for snapshot in _view_answers.decode(body).tables:
-            self.view.replace_from(snapshot)
-        return True
-
-    def _answer_view(self, request: ViewRequest) -> ViewAnswer:
-        end_ms = self.clock.now_ms() + request.wait_ms
-        while not (tables := self.view.newer_than(request.revisions)):
-            if self.clock.now_ms() >= end_ms:
-                break
-            eventlet.sleep(VIEW_STEP_MS / 1000)
-        return ViewAnswer(tables)
-
-    def _is_near(self, name: str) -> bool:
-        return self._links[name].peer.failure_domain == self.peer.failure_domain
-
-    # Small parts
+    def _near_and_all(self) -> tuple[list[Link], list[Link]]:
+        """Return the links in use within the own failure domain, and all of them."""
+        links_up = [link for link in self._links.values() if link.up]
+        own = self.peer.failure_domain
+        return [link for link in links_up if link.peer.failure_domain == own], links_up
 
     def _admit(self, organisation: str, wait_ms: int, hold_ms: int) -> int:
         if organisation == ANONYMOUS:
--- a/godwitthread/gateway/ports.py
+++ b/godwitthread/gateway/ports.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
+from godwitthread.core.catalog import Configuration, Member
+from godwitthread.core.statements import Reply
+from godwitthread.types import Position
 
-    from godwitthread.core.catalog import Configuration, Member
-    from godwitthread.core.statements import Prepared, Refusal, Reply, TxState
-    from godwitthread.types import Position
+if TYPE_CHECKING:
+    from godwitthread.core.statements import Prepared, Refusal, TxState
 
 
 class MemberStatus(NamedTuple):
--- a/godwitthread/gateway/sessions.py
+++ b/godwitthread/gateway/sessions.py
@@ -16,7 +16,6 @@
     failure,
 )
 from godwitthread.errors import ErrorKind
-from godwitthread.types import Position
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -25,6 +24,7 @@
     from godwitthread.core.catalog import Configuration, Organisation, Route
     from godwitthread.core.statements import Statement
     from godwitthread.gateway.logs import Log
+    from godwitthread.types import Position
 
     #: Runs a statement at the owner of a group. Takes the request and the owner that holds
     #: the open transaction, and returns the result and the owner that ran it.
--- a/godwitthread/platform/program.py
+++ b/godwitthread/platform/program.py
@@ -50,7 +50,7 @@
         settings = load(os.environ)
     except ExceptionGroup as group:
         for exc in group.exceptions:
-            print(f'godwitthread: {exc}', file=sys.stderr)
+            sys.stderr.write(f'godwitthread: {exc}\n')
         return BAD_SETTINGS
     loop.patch()
     logging.basicConfig(level=logging.INFO, format='%(message)s', stream=sys.stdout)
--- a/godwitthread/standin/line_member.py
+++ b/godwitthread/standin/line_member.py
@@ -4,7 +4,6 @@
 
 import itertools
 import random
-import socket
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from godwitthread.core.statements import TxState, Verb
@@ -21,6 +20,7 @@
 from godwitthread.types import Position
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Callable
 
     from godwitthread.address import Address
--- a/tests/test_gateway/test_groups.py
+++ b/tests/test_gateway/test_groups.py
@@ -6,6 +6,7 @@
 import pytest
 
 from godwitthread.core.statements import Action, Consistency, Prepared, Refusal, TxState
+from godwitthread.gateway import groups
 from tests.test_gateway.fakes import GROUP, FakeGroup, member, members, request, runner
 
 
@@ -191,5 +192,17 @@
     assert made.run('a', request('COMMIT', Action.COMMIT, first=False)).error == 'transaction_lost'
 
 
+def test_transactions_end_on_members_of_a_failure_domain_that_is_left(monkeypatch):
+    """Guard against statements that reach a member long after its domain was evacuated."""
+    monkeypatch.setattr(groups, 'EVACUATED_TX_MS', 10)
+    group = FakeGroup()
+    made = runner(group)
+    made.run('a', request('WRITE i x', Action.IN_TRANSACTION, writes=True))
+    made.update(*_update(group, evacuated={'d0'}))
+    eventlet.sleep(0.03)
+    made.tick(owned=False)
+    assert made.run('a', request('COMMIT', Action.COMMIT, first=False)).error == 'transaction_lost'
+
+
 def _update(group, entries=None, evacuated=frozenset(), tx_idle_ms=3_000):
     return GROUP, entries or members(group), set(evacuated), tx_idle_ms
