Find the holder of the duty without the store, and ask a missing primary less often

Heartbeats now tell the holder's token. Urgent work goes first among work that can meet its objective. Fields and functions that nothing used are removed.

--- a/godwitthread/core/dispatch.py
+++ b/godwitthread/core/dispatch.py
@@ -32,7 +32,6 @@
     """Statement that waits for a member."""
 
     number: int
-    organisation: str
     #: Whether only the primary can run it.
     primary: bool
     #: Position that the member's log must hold, None for any.
@@ -42,6 +41,7 @@
     #: Time by which an answer is worth its full value, in ms.
     objective_ms: int
     deadline_ms: int
+    #: 0 is the highest priority.
     priority: int = 0
     #: Members that have already failed this work.
     avoid: frozenset[str] = frozenset()
@@ -50,10 +50,9 @@
 class MemberState:
     """Keep what decides whether a member can take work."""
 
-    def __init__(self, member_id: str, slots: int, failure_domain: str) -> None:
+    def __init__(self, member_id: str, slots: int) -> None:
         self.id = member_id
         self.slots = slots
-        self.failure_domain = failure_domain
         #: Whether new work may go there: not draining, not evacuated, not gone.
         self.usable = True
         #: Statements sent and not answered, connections being opened included.
@@ -193,13 +192,6 @@
         ahead = sum(self.primary is not None or not other.primary for other in self)
         return ahead * service_ms / slots
 
-    def expired(self, now_ms: int) -> list[Work]:
-        """Remove and return the work whose deadline has passed."""
-        late = [work for work in self._waiting.values() if work.deadline_ms <= now_ms]
-        for work in late:
-            del self._waiting[work.number]
-        return late
-
     def assign(self, now_ms: int) -> list[Assignment]:
         """Return the work that can start now; the members count it as running."""
         if not self._waiting:
@@ -259,6 +251,6 @@
         )
 
 
-def _urgency(now_ms: int, work: Work) -> tuple[bool, int, int]:
+def _urgency(now_ms: int, work: Work) -> tuple[bool, int, int, int]:
     # Work that can still meet its objective goes before work that is late already.
-    return now_ms > work.objective_ms, work.objective_ms, work.number
+    return now_ms > work.objective_ms, work.priority, work.objective_ms, work.number
--- a/godwitthread/core/ownership.py
+++ b/godwitthread/core/ownership.py
@@ -33,6 +33,8 @@
     leaving: bool = False
     #: Whether it can serve, as it says itself.
     ready: bool = True
+    #: Newest fencing token of a peer that holds the duty of promotions, else 0.
+    duty_token: int = 0
 
 
 def candidates(peers: Iterable[Peer], groups: int) -> list[Peer]:
@@ -65,6 +67,16 @@
     return rendezvous.ranked(resource, able)
 
 
+def duty_holder(reach: Mapping[str, Reach]) -> str | None:
+    """Return the reachable peer that holds the duty of promotions, None without one.
+
+    A former holder may not know of the next one yet, whose tokens are higher.
+    """
+    holders = [(seen.duty_token, name) for name, seen in reach.items() if seen.up]
+    token, name = max(holders, default=(0, ''))
+    return name if token else None
+
+
 def has_majority(names: Iterable[str], reach: Mapping[str, Reach]) -> bool:
     """Tell whether this instance reaches most of the candidates that may be running.
 
--- a/godwitthread/events.py
+++ b/godwitthread/events.py
@@ -109,6 +109,7 @@
         _entry(407, 'session_refused', 'session refused', logging.WARNING),
         _entry(501, 'share_owner_changed', 'share owner changed'),
         _entry(502, 'share_changed', 'share changed', logging.DEBUG),
+        _entry(505, 'rate_not_granted', 'rate could not be asked for', logging.WARNING),
         _entry(503, 'group_owned', 'this instance owns the group'),
         _entry(504, 'group_left', 'another instance owns the group'),
         _entry(601, 'connection_opened', 'backend connection opened', logging.DEBUG),
--- a/godwitthread/gateway/duty.py
+++ b/godwitthread/gateway/duty.py
@@ -27,6 +27,8 @@
 #: Times that an order is given while it is unknown what became of it; each waits twice
 #: as long as the one before, in case the platform is slow.
 MOST_ORDERS = 4
+#: Refused orders in a row after which the holder takes itself for a former one.
+MOST_REFUSALS = 2
 
 
 class Holder(NamedTuple):
@@ -65,6 +67,8 @@
         self._ports = ports
         self._log = log
         self._next_token: int | None = None
+        #: Refusals in a row; a newer holder refuses every order of a former one.
+        self._refusals = 0
         self._last_token = 0
 
     @property
@@ -72,6 +76,11 @@
         """Tell whether this process holds the duty, as far as it knows."""
         return self._next_token is not None
 
+    @property
+    def token(self) -> int:
+        """Return the next token, 0 if this process does not hold the duty."""
+        return self._next_token or 0
+
     def holder(self) -> Holder | None:
         """Return the holder that the store names; raise ProxyError."""
         return self._read()[0]
@@ -111,11 +120,16 @@
             if result.final:
                 break
         assert result is not None
+        self._refusals = self._refusals + 1 if result.refused else 0
+        if self._refusals >= MOST_REFUSALS:
+            # A member that is not running is refused as well, but not again and again.
+            self.lose()
         return OrderAnswer(result.done, result.refused)
 
     def lose(self) -> None:
         """Note that another instance holds the duty."""
         self._next_token = None
+        self._refusals = 0
 
     def _token(self) -> int:
         if self._next_token is None:
@@ -139,14 +153,19 @@
     own_name: str,
     request: OrderRequest,
     ask: Callable[[str, OrderRequest], OrderAnswer],
+    known_holder: Callable[[], str | None],
     is_up: Callable[[str, int], bool],
 ) -> OrderAnswer:
     """Order a promotion through the holder, and take the duty if the holder is gone.
 
-    Raise ProxyError if no order could be given.
+    The store is asked only when no peer says that it holds the duty. Raise ProxyError if
+    no order could be given.
     """
     if duty.held:
         return duty.order(request.group, request.member)
+    name = known_holder()
+    if name is not None:
+        return ask(name, request)
     holder = duty.holder()
     if holder is not None and holder.name != own_name and is_up(holder.name, holder.incarnation):
         return ask(holder.name, request)
--- a/godwitthread/gateway/groups.py
+++ b/godwitthread/gateway/groups.py
@@ -413,7 +413,6 @@
         now_ms = self._clock.now_ms()
         return Work(
             number=next(self._numbers),
-            organisation=req.organisation,
             primary=primary,
             required=required,
             required_ms=self.evidence.reached_ms(now_ms, required) if required else 0,
--- a/godwitthread/gateway/limits.py
+++ b/godwitthread/gateway/limits.py
@@ -13,6 +13,7 @@
 
     from godwitthread.clock import Clock
     from godwitthread.core.catalog import Organisation
+    from godwitthread.gateway.logs import Log
 
 #: Pause before a granter that could not be asked is asked again, in ms.
 RETRY_MS = 40
@@ -36,12 +37,14 @@
         clock: Clock,
         organisation: Callable[[str], Organisation | None],
         ask: Callable[[GrantRequest, int], Grant],
+        log: Log,
     ) -> None:
         self._clock = clock
         #: Returns the limit in force of an organisation.
         self._organisation = organisation
         #: Asks the granter of an organisation; raises ProxyError.
         self._ask = ask
+        self._log = log
         self._holders: dict[str, RateHolder] = {}
         self._granters: dict[str, RateGranter] = {}
         self._asking: dict[str, eventlet.event.Event] = {}
@@ -102,8 +105,9 @@
             req = GrantRequest(organisation, holder.waiting, holder.wanted())
             grant = self._ask(req, CALL_TIMEOUT_MS)
             holder.receive(sent_ms, self._clock.now_ms(), grant)
-        except ProxyError:
+        except ProxyError as exc:
             # The granter is changing or out of reach; nothing may be used without it.
+            self._log.failure('rate_not_granted', organisation=organisation, reason=exc.message)
             eventlet.sleep(RETRY_MS / 1000)
         finally:
             del self._asking[organisation]
--- a/godwitthread/gateway/links.py
+++ b/godwitthread/gateway/links.py
@@ -65,6 +65,8 @@
 
     leaving: bool
     ready: bool
+    #: Newest fencing token of the instance if it holds the duty of promotions, else 0.
+    duty_token: int = 0
 
 
 class Failed(NamedTuple):
@@ -186,7 +188,9 @@
     def reach(self) -> Reach:
         """Return what is known of the peer."""
         condition = self._peer_condition
-        return Reach(self.up, self._refused, condition.leaving, condition.ready)
+        return Reach(
+            self.up, self._refused, condition.leaving, condition.ready, condition.duty_token
+        )
 
     def call(self, kind: str, body: Any, timeout_ms: int) -> msgspec.Raw:
         """Return the answer of the peer.
--- a/godwitthread/gateway/member_group.py
+++ b/godwitthread/gateway/member_group.py
@@ -25,6 +25,8 @@
 HOLD_SHARE = 0.45
 #: Pause after a member was busy, in ms; about one statement's service time.
 BUSY_PAUSE_MS = 10
+#: Pause after a primary could not be asked for its position, in ms.
+PROBE_PAUSE_MS = 100
 #: Limit of a statement of the gateway's own, in ms.
 OWN_TIMEOUT_MS = 400
 
@@ -52,6 +54,7 @@
         self._numbers = itertools.count(1)
         self._events: dict[int, eventlet.event.Event] = {}
         self._probing: eventlet.event.Event | None = None
+        self._probe_after_ms = 0
         #: Time of the last read that relied on evidence, in ms.
         self._bounded_ms = 0
         #: Members whose entry still claims the lead that they have lost.
@@ -154,13 +157,15 @@
         state = self.dispatcher.members.get(primary or '')
         if state is None or primary is None:
             return
-        if self._clock.now_ms() < state.paused_until_ms:
+        if self._clock.now_ms() < max(state.paused_until_ms, self._probe_after_ms):
             return
         done = self._probing = eventlet.event.Event()
         answered_ms = state.answered_ms
         try:
-            if not self.leads(primary) and state.answered_ms > answered_ms:
-                self._lost_lead(primary)
+            if not self.leads(primary):
+                self._probe_after_ms = self._clock.now_ms() + PROBE_PAUSE_MS
+                if state.answered_ms > answered_ms:
+                    self._lost_lead(primary)
         finally:
             self._probing = None
             done.send()
@@ -316,7 +321,7 @@
 
     def _add(self, now_ms: int, member: Member) -> None:
         self._drop(member.id)
-        state = MemberState(member.id, member.slots, member.failure_domain)
+        state = MemberState(member.id, member.slots)
         state.cold_until_ms = now_ms + member.cold_ms
         self.dispatcher.members[member.id] = state
         limit = self._group.connection_limit if self._group else 1
--- a/godwitthread/gateway/members.py
+++ b/godwitthread/gateway/members.py
@@ -41,8 +41,6 @@
         self.closing = False
         #: Organisation that asked for a connection last.
         self.last_organisation: str | None = None
-        #: Connections opened since the start.
-        self.opened = 0
         #: Time since which connecting fails, 0 while it works, in ms.
         self.refused_since_ms = 0
         self._clock = clock
@@ -134,12 +132,12 @@
         try:
             conn, reply = self._connect(self.member, organisation)
         except NotConnectedError as exc:
-            if exc.refusal is Refusal.UNREACHABLE and not self.refused_since_ms:
+            gone = exc.refusal in (Refusal.UNREACHABLE, Refusal.WRONG_MEMBER)
+            if gone and not self.refused_since_ms:
                 self.refused_since_ms = self._clock.now_ms()
             raise
         finally:
             self._opening -= 1
-        self.opened += 1
         self.refused_since_ms = 0
         conn.used_ms = self._clock.now_ms()
         self._lent.add(conn)
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
@@ -16,7 +16,7 @@
 from godwitthread.gateway import links
 from godwitthread.gateway.duty import Duty, OrderAnswer, OrderRequest
 from godwitthread.gateway.failover import Failover
-from godwitthread.gateway.following import CALL_TIMEOUT_MS, Follower, ViewRequest
+from godwitthread.gateway.following import Follower, ViewRequest
 from godwitthread.gateway.groups import TICK_MS, GroupRunner
 from godwitthread.gateway.limits import GrantRequest, Limits
 from godwitthread.gateway.links import Condition, Hello, Link
@@ -79,7 +79,7 @@
         self.sessions = Sessions(
             clock, lambda: self.view.configuration, self.run, log, metrics.observe
         )
-        self.limits = Limits(clock, self._organisation, self._ask_grant)
+        self.limits = Limits(clock, self._organisation, self._ask_grant, log)
         self.duty = Duty(peer.name, peer.incarnation, ports, log)
         self.runners: dict[str, GroupRunner] = {}
         self._failovers: dict[str, Failover] = {}
@@ -125,7 +125,15 @@
 
     def condition(self) -> Condition:
         """Return what peers are told about this instance."""
-        return Condition(self.leaving, self._settled)
+        return Condition(self.leaving, self._settled, self.duty.token)
+
+    def owned_groups(self) -> int:
+        """Return the number of groups that this instance owns."""
+        return len(self._owned)
+
+    def connections(self) -> int:
+        """Return the number of open connections to members."""
+        return sum(pool.total for each in self.runners.values() for pool in each.pools.values())
 
     def working(self) -> bool:
         """Tell whether statements of other instances are still at work here."""
@@ -239,7 +247,10 @@
             peer, link = self.view.peers.get(name), self._links.get(name)
             return bool(peer and peer.incarnation == incarnation and link and link.up)
 
-        return duties.order(self.duty, self.peer.name, request, ask, is_up)
+        def known_holder() -> str | None:
+            return ownership.duty_holder({name: each.reach() for name, each in self._links.items()})
+
+        return duties.order(self.duty, self.peer.name, request, ask, known_holder, is_up)
 
     # Ownership
 
--- a/godwitthread/gateway/sessions.py
+++ b/godwitthread/gateway/sessions.py
@@ -143,11 +143,7 @@
     def close_if_idle(self) -> None:
         """End the connection unless the session is busy."""
         if not self.busy and self._disconnect is not None:
-            try:
-                self._disconnect()
-            except OSError:
-                # The caller was faster; its thread ends by itself.
-                self._disconnect = None
+            self._disconnect()
 
     def close(self) -> None:
         """End the session; an open transaction is rolled back."""
--- a/godwitthread/platform/callers.py
+++ b/godwitthread/platform/callers.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import logging
-import socket
+from functools import partial
 from typing import TYPE_CHECKING
 
 from godwitthread.core.statements import TxState
 from godwitthread.errors import ErrorKind
 from godwitthread.platform.lines import LineReader, LineTooLongError, encode, parse_query, ready
+from godwitthread.sockets import sever
 
 if TYPE_CHECKING:
+    import socket
+
     from godwitthread.core.statements import Result
     from godwitthread.gateway.sessions import Session, Sessions
 
@@ -60,7 +63,7 @@
         assert session is not None
         sock.sendall(encode(ready(TxState.IDLE)))
         sock.settimeout(None)
-        session.attach(lambda: sock.shutdown(socket.SHUT_RDWR))
+        session.attach(partial(sever, sock))
         _serve_queries(sock, reader, session)
     except LineTooLongError:
         logger.debug('caller sent a line over the limit')
--- a/godwitthread/platform/program.py
+++ b/godwitthread/platform/program.py
@@ -84,6 +84,10 @@
         metrics = Metrics()
         self._node = Node(peer, self._clock, ports, self._log, metrics)
         metrics.gauge('godwitthread_sessions', 'Open sessions', lambda: len(self._node.sessions))
+        metrics.gauge('godwitthread_owned_groups', 'Groups owned', self._node.owned_groups)
+        metrics.gauge(
+            'godwitthread_member_connections', 'Connections to members', self._node.connections
+        )
         self._metrics = metrics
         self._stop = eventlet.event.Event()
 
--- a/tests/test_gateway/test_groups.py
+++ b/tests/test_gateway/test_groups.py
@@ -192,6 +192,20 @@
     assert made.run('a', request('COMMIT', Action.COMMIT, first=False)).error == 'transaction_lost'
 
 
+def test_a_primary_that_is_not_there_is_not_asked_again_at_once():
+    """Guard against a connection attempt for each read that needs evidence."""
+    group = FakeGroup()
+    made = runner(group)
+    made.pools['m0'].last_organisation = 'drivers'
+    group.unreachable.add('m0')
+    attempts = []
+    connect = made.pools['m0']._connect
+    made.pools['m0']._connect = lambda *args: (attempts.append(1), connect(*args))[1]
+    for _ in range(20):
+        made.renew_evidence()
+    assert len(attempts) == 1
+
+
 def test_transactions_end_on_members_of_a_failure_domain_that_is_left(monkeypatch):
     """Guard against statements that reach a member long after its domain was evacuated."""
     monkeypatch.setattr(groups, 'EVACUATED_TX_MS', 10)
--- a/tests/test_gateway/test_ownership.py
+++ b/tests/test_gateway/test_ownership.py
@@ -4,7 +4,14 @@
 
 from godwitthread.address import Address
 from godwitthread.core.catalog import Peer
-from godwitthread.core.ownership import LEAST_CANDIDATES, Reach, candidates, has_majority, ranked
+from godwitthread.core.ownership import (
+    LEAST_CANDIDATES,
+    Reach,
+    candidates,
+    duty_holder,
+    has_majority,
+    ranked,
+)
 
 UP = Reach(True)
 DOWN = Reach(False)
@@ -59,3 +66,15 @@
     reach = dict.fromkeys(names, CLOSED) | {'gw-0': UP}
     assert has_majority(names, reach)
     assert not has_majority(names, reach | {'gw-1': DOWN})
+
+
+def test_the_holder_with_the_newest_token_is_asked():
+    """Guard against orders through a former holder."""
+    reach = {
+        'a': Reach(True, duty_token=1_005),
+        'b': Reach(True, duty_token=2_001),
+        'c': Reach(False, duty_token=3_000),
+        'd': UP,
+    }
+    assert duty_holder(reach) == 'b'
+    assert duty_holder({'d': UP}) is None
