--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,9 @@
 SECONDS ?= 60
 SEED ?= 1
 
-.PHONY: setup demo test lint format types unit system docs soak wheel
+SEEDS ?= 1
+
+.PHONY: setup demo test lint format types unit system docs soak soak-processes wheel
 
 setup: $(VENV)/.installed
 
@@ -42,5 +44,8 @@
 soak: setup
 	$(BIN)/python -m tests.soak --seconds $(SECONDS) --seed $(SEED)
 
+soak-processes: setup
+	$(BIN)/python -m tests.test_platform.world --seconds $(SECONDS) --seed $(SEED) --seeds $(SEEDS)
+
 wheel: setup
 	$(BIN)/python -m build --wheel --no-isolation
