Let statements whose answers are lost take no slot of a member that answers

Ruled out: a change of the primary, which the log does not show. A statement older than five service times, at a member that answered a later one, no longer counts; a dark member still gets nothing more. The test fails without the change.

--- a/godwitthread/core/dispatch.py
+++ b/godwitthread/core/dispatch.py
@@ -22,6 +22,10 @@
 NEWEST_SHARE = 0.1
 #: Service time assumed before the first measurement, in ms.
 FIRST_SERVICE_MS = 15.0
+#: Service times after which a statement counts as unanswered for good, if the member has
+#: answered one that was sent later, and the least such time in ms.
+OVERDUE_SERVICE_TIMES = 5
+LEAST_OVERDUE_MS = 100
 #: Time without work for a member after it refused or failed to connect, in ms.
 FAULT_PAUSE_MS = 150
 #: The pause doubles with each further failure up to this, in ms.
@@ -55,8 +59,11 @@
         self.slots = slots
         #: Whether new work may go there: not draining, not evacuated, not gone.
         self.usable = True
-        #: Statements sent and not answered, connections being opened included.
-        self.running = 0
+        #: Times at which the statements without an answer began, in ms; the time to open a
+        #: connection is part of it.
+        self._began: list[int] = []
+        #: Beginning of the newest statement that was answered, in ms.
+        self._answered_began_ms = -1
         #: Newest position seen in an answer.
         self.position: Position | None = None
         #: Estimated time until a commit is applied here, in ms.
@@ -80,18 +87,42 @@
             return False
         if now_ms < self.cold_until_ms and self.cold_rate > 0 and now_ms < self._cold_next_ms:
             return False
-        return self.running < self.slots + AHEAD
+        return self.load(now_ms) < self.slots + AHEAD
+
+    @property
+    def running(self) -> int:
+        """Return the number of statements without an answer."""
+        return len(self._began)
+
+    def load(self, now_ms: int) -> int:
+        """Return the number of statements that take a slot.
+
+        A lost answer leaves the member free, although its statement is still waited for.
+        """
+        return sum(not self._is_overdue(now_ms, began_ms) for began_ms in self._began)
+
+    def next_overdue_ms(self, now_ms: int) -> int | None:
+        """Return when a statement stops taking a slot without an answer."""
+        overdue_ms = self._overdue_ms()
+        times = [each + overdue_ms for each in self._began if each < self._answered_began_ms]
+        return min((math.ceil(each) for each in times if each > now_ms), default=None)
 
     def begin(self, now_ms: int) -> None:
         """Count a statement that is sent."""
-        self.running += 1
+        self._began.append(now_ms)
         self.asked_ms = self.asked_ms or now_ms
         if now_ms < self.cold_until_ms and self.cold_rate > 0:
             self._cold_next_ms = max(self._cold_next_ms, now_ms) + 1000 / self.cold_rate
 
-    def end(self, now_ms: int, service_ms: float | None, position: Position | None) -> None:
+    def end(
+        self,
+        now_ms: int,
+        service_ms: float | None,
+        position: Position | None,
+        began_ms: int | None = None,
+    ) -> None:
         """Count an answer; no service time means that nothing ran."""
-        self.running -= 1
+        self._answered_began_ms = max(self._answered_began_ms, self._remove(began_ms))
         self.answer(now_ms)
         self.failures = 0
         self.see(position)
@@ -108,13 +139,30 @@
         if position is not None and (self.position is None or position > self.position):
             self.position = position
 
-    def fail(self, now_ms: int) -> None:
+    def fail(self, now_ms: int, began_ms: int | None = None) -> None:
         """Count a statement or connection that failed, and pause the member."""
-        self.running -= 1
+        self._remove(began_ms)
         self.failures += 1
         pause_ms = min(MOST_FAULT_PAUSE_MS, FAULT_PAUSE_MS << min(self.failures - 1, 4))
         self.paused_until_ms = now_ms + pause_ms
 
+    def _is_overdue(self, now_ms: int, began_ms: int) -> bool:
+        answered_later = began_ms < self._answered_began_ms
+        return answered_later and now_ms - began_ms >= self._overdue_ms()
+
+    def _overdue_ms(self) -> float:
+        return max(LEAST_OVERDUE_MS, OVERDUE_SERVICE_TIMES * self.service_ms)
+
+    def _remove(self, sent_ms: int | None) -> int:
+        """Forget the statement that began last before it was sent, and return its beginning."""
+        if not self._began:
+            # The member started again meanwhile, and its load is counted anew.
+            return -1
+        earlier = [each for each in self._began if sent_ms is None or each <= sent_ms]
+        began_ms = max(earlier or self._began[:1])
+        self._began.remove(began_ms)
+        return began_ms
+
     def behind(self, age_ms: int) -> None:
         """Record that a position of the given age was not applied yet."""
         self.lag_ms = min(MOST_LAG_MS, max(self.lag_ms * 1.5, age_ms + LEAST_LAG_MS))
@@ -164,7 +212,7 @@
 
     def submit(self, now_ms: int, work: Work) -> Refused | None:
         """Queue work, or refuse it when it can't start before its deadline."""
-        wait_ms = self.expected_wait_ms(work)
+        wait_ms = self.expected_wait_ms(now_ms, work)
         if now_ms + wait_ms >= work.deadline_ms:
             return Refused(work, max(1, int(wait_ms)))
         self._waiting[work.number] = work
@@ -174,14 +222,14 @@
         """Remove waiting work; return False if it was assigned already."""
         return self._waiting.pop(number, None) is not None
 
-    def expected_wait_ms(self, work: Work) -> float:
+    def expected_wait_ms(self, now_ms: int, work: Work) -> float:
         """Return how long work submitted now is expected to wait."""
         if work.primary:
             member = self.members.get(self.primary or '')
             if member is None:
                 return 0.0
             ahead = sum(other.primary for other in self)
-            busy = ahead + max(0, member.running - member.slots)
+            busy = ahead + max(0, member.load(now_ms) - member.slots)
             return busy * member.service_ms / member.slots
         members = [member for member in self.members.values() if member.usable]
         slots = sum(member.slots for member in members)
@@ -221,6 +269,11 @@
             for member in self.members.values()
             if member.paused_until_ms > now_ms
         ]
+        times += [
+            each
+            for member in self.members.values()
+            if (each := member.next_overdue_ms(now_ms)) is not None
+        ]
         times += [
             math.ceil(work.required_ms + member.lag_ms)
             for work in self._waiting.values()
@@ -243,7 +296,7 @@
         return min(
             able,
             key=lambda member: (
-                member.running / member.slots + (0.5 if member.id == self.primary else 0.0),
+                member.load(now_ms) / member.slots + (0.5 if member.id == self.primary else 0.0),
                 member.service_ms,
                 member.id,
             ),
--- a/godwitthread/gateway/member_group.py
+++ b/godwitthread/gateway/member_group.py
@@ -235,10 +235,10 @@
             return
         now_ms = self._clock.now_ms()
         if reply.refusal in (Refusal.LOST, Refusal.UNREACHABLE):
-            state.fail(now_ms)
+            state.fail(now_ms, sent_ms)
         else:
             ran = timed and (reply.refusal is None or reply.refusal not in NOT_RUN)
-            state.end(now_ms, now_ms - sent_ms if ran else None, reply.position)
+            state.end(now_ms, now_ms - sent_ms if ran else None, reply.position, sent_ms)
         self.pump()
 
     def _release(self, member_id: str, conn: Connection) -> None:
--- a/tests/test_gateway/test_dispatch.py
+++ b/tests/test_gateway/test_dispatch.py
@@ -154,7 +154,7 @@
             assert each.work.number not in seen
             assert not each.work.primary or each.member == 'm0'
             seen.add(each.work.number)
-        assert all(state.running <= slots + AHEAD for state in made.members.values())
+        assert all(state.load(now_ms) <= slots + AHEAD for state in made.members.values())
 
 
 def test_urgent_work_goes_first():
@@ -164,3 +164,37 @@
     made.submit(0, work(2, priority=2))
     made.submit(0, work(3, priority=1))
     assert [each.work.number for each in made.assign(0)] == [3, 1]
+
+
+def test_statements_without_an_answer_do_not_hold_the_slots_of_a_member_that_answers():
+    """Guard against a member that gets no work because some of its answers are lost."""
+    made = dispatcher(1, 1)
+    state = made.members['m0']
+    for began_ms in (0, 10):
+        state.begin(began_ms)
+    assert not state.free(20)
+    # The later one is answered, so that the answer of the earlier one is probably lost.
+    state.end(30, 20.0, None, began_ms=10)
+    state.begin(40)
+    assert not state.free(50)
+    made.submit(50, work(1, objective_ms=900))
+    next_ms = made.next_change_ms(50)
+    assert next_ms is not None
+    assert next_ms < 200
+    assert [each.work.number for each in made.assign(next_ms)] == [1]
+
+
+def test_a_member_that_answers_nothing_gets_no_more_work():
+    """Guard against work that piles up at a dark member."""
+    state = MemberState('m0', 1)
+    for began_ms in range(1 + AHEAD):
+        state.begin(began_ms)
+    assert not state.free(10_000)
+
+
+def test_answers_of_an_earlier_start_of_a_member_do_no_harm():
+    """Guard against a count that goes below zero, or an error, when a member restarts."""
+    state = MemberState('m0', 2)
+    state.end(10, 5.0, None, began_ms=3)
+    state.fail(20, 4)
+    assert state.running == 0
