Try a replica again after it lagged

The estimate now falls with time; positions guard the reads as before. Ruled out: lost answers, which hold no slots any more.

--- a/godwitthread/core/dispatch.py
+++ b/godwitthread/core/dispatch.py
@@ -66,8 +66,9 @@
         self._answered_began_ms = -1
         #: Newest position seen in an answer.
         self.position: Position | None = None
-        #: Estimated time until a commit is applied here, in ms.
-        self.lag_ms: float = FIRST_LAG_MS
+        # Estimated time until a commit is applied here, and when it was raised last, in ms.
+        self._lag_ms: float = FIRST_LAG_MS
+        self._lagged_ms = 0
         self.service_ms = FIRST_SERVICE_MS
         self.paused_until_ms = 0
         #: Failures in a row.
@@ -163,14 +164,33 @@
         self._began.remove(began_ms)
         return began_ms
 
-    def behind(self, age_ms: int) -> None:
+    def lag_ms(self, now_ms: int) -> float:
+        """Return how old a commit must be to be expected here, in ms.
+
+        An estimate that was raised falls back with time: a replica whose lag has ended
+        gets no reads that could show it otherwise.
+        """
+        floor = min(self._lag_ms, FIRST_LAG_MS)
+        return max(floor, self._lag_ms - max(0, now_ms - self._lagged_ms))
+
+    def expected_ms(self, now_ms: int, reached_ms: int) -> int:
+        """Return when a commit of the given time is expected here."""
+        lag_ms = self.lag_ms(now_ms)
+        missing_ms = reached_ms + lag_ms - now_ms
+        # An estimate that falls meets the age of the commit half way.
+        falling = lag_ms > FIRST_LAG_MS
+        return math.ceil(now_ms + (missing_ms / 2 if falling else missing_ms))
+
+    def behind(self, now_ms: int, age_ms: int) -> None:
         """Record that a position of the given age was not applied yet."""
-        self.lag_ms = min(MOST_LAG_MS, max(self.lag_ms * 1.5, age_ms + LEAST_LAG_MS))
+        raised = max(self.lag_ms(now_ms) * 1.5, age_ms + LEAST_LAG_MS)
+        self._lag_ms, self._lagged_ms = min(MOST_LAG_MS, raised), now_ms
 
-    def caught_up(self, age_ms: int) -> None:
+    def caught_up(self, now_ms: int, age_ms: int) -> None:
         """Record that a position of the given age was applied."""
-        if age_ms < self.lag_ms:
-            self.lag_ms = max(LEAST_LAG_MS, self.lag_ms * 0.9, age_ms)
+        lag_ms = self.lag_ms(now_ms)
+        if age_ms < lag_ms:
+            self._lag_ms, self._lagged_ms = max(LEAST_LAG_MS, lag_ms * 0.9, age_ms), now_ms
 
     def holds(self, now_ms: int, work: Work) -> bool:
         """Tell whether the log holds, or very likely holds, what the work must see."""
@@ -178,7 +198,7 @@
             return True
         if self.position is not None and self.position >= work.required:
             return True
-        return now_ms - work.required_ms >= self.lag_ms
+        return now_ms - work.required_ms >= self.lag_ms(now_ms)
 
 
 class Refused(NamedTuple):
@@ -275,11 +295,11 @@
             if (each := member.next_overdue_ms(now_ms)) is not None
         ]
         times += [
-            math.ceil(work.required_ms + member.lag_ms)
+            each
             for work in self._waiting.values()
             if work.required is not None
             for member in self.members.values()
-            if work.required_ms + member.lag_ms > now_ms
+            if (each := member.expected_ms(now_ms, work.required_ms)) > now_ms
         ]
         return max(now_ms + 1, min(times))
 
--- a/godwitthread/gateway/groups.py
+++ b/godwitthread/gateway/groups.py
@@ -271,7 +271,7 @@
             reply = self._statement(conn, req, deadline_ms, work.required)
             state = self.dispatcher.members.get(member_id)
             if reply.refusal is None and state is not None and member_id != self.last_primary:
-                state.caught_up(sent_ms - work.required_ms)
+                state.caught_up(sent_ms, sent_ms - work.required_ms)
         self._finish(member_id, conn, sent_ms, reply)
         return reply
 
--- a/godwitthread/gateway/member_group.py
+++ b/godwitthread/gateway/member_group.py
@@ -254,7 +254,7 @@
         if reply.refusal is Refusal.READ_ONLY:
             self._lost_lead(member_id)
         elif reply.refusal is Refusal.BEHIND and state is not None and work is not None:
-            state.behind(now_ms - work.required_ms)
+            state.behind(now_ms, now_ms - work.required_ms)
         elif reply.refusal in (Refusal.BUSY, Refusal.BEHIND) and state is not None:
             state.paused_until_ms = now_ms + BUSY_PAUSE_MS
         self.pump()
--- a/tests/test_gateway/test_dispatch.py
+++ b/tests/test_gateway/test_dispatch.py
@@ -198,3 +198,20 @@
     state.end(10, 5.0, None, began_ms=3)
     state.fail(20, 4)
     assert state.running == 0
+
+
+def test_a_replica_that_lagged_is_tried_again():
+    """Guard against replicas that get no reads for good after they lagged for a while."""
+    made = dispatcher(2)
+    replica = made.members['m1']
+    for now_ms in range(0, 3_000, 100):
+        read = work(now_ms, required=Position(1, 9), required_ms=now_ms - 2_000)
+        if replica.holds(now_ms, read):
+            replica.behind(now_ms, 2_000)
+    tried = [
+        now_ms
+        for now_ms in range(3_000, 7_000, 100)
+        if replica.holds(now_ms, work(1, required=Position(1, 9), required_ms=now_ms - 2_000))
+    ]
+    assert tried
+    assert tried[0] < 5_000
