Give each seed of the soak addresses of its own

Cause: a second seed in one process bound the addresses of the first, so that runs of several seeds ended with an error.

--- a/tests/test_platform/world.py
+++ b/tests/test_platform/world.py
@@ -109,7 +109,7 @@
     def __init__(self, seed: int, instances: int, groups: int, folder: str) -> None:
         self.random = random.Random(seed)
         self.folder = Path(folder)
-        self.prefix = f'127.{20 + os.getpid() % 200}'
+        self.prefix = f'127.{20 + (os.getpid() + seed) % 200}'
         self.store = RowStore(seed)
         self.violations: list[str] = []
         self.served = self.asked = 0
