Remove a method of the member pool that nothing calls

Found by looking for names with a single occurrence in the package: close_all had no caller in code or tests. Behaviour is unchanged; formatter, linter, types and the tests of the gateway pass.

--- a/godwitthread/gateway/members.py
+++ b/godwitthread/gateway/members.py
@@ -97,12 +97,6 @@
             conn.close()
         self._idle.clear()
 
-    def close_all(self) -> None:
-        """Close every connection; statements on them are lost."""
-        self.close_idle()
-        for conn in list(self._lent):
-            conn.close()
-
     def reopen(self) -> None:
         """Keep connections again."""
         self.closing = False
