Pause the replicas of synchronous groups before one is promoted

Cause: in a group whose commits wait for a replica, a commit may be acknowledged between the comparison of the replicas and the promotion, or by a replica that did not answer; the promoted member then lacks it.

Change: the failover stops all replicas from receiving, requires an answer of each, promotes the one with the newest position even if it drains, and lets the others receive again once the outcome of the order is certain. A new owner lets replicas receive that the owner before it left paused.

--- a/godwitthread/core/catalog.py
+++ b/godwitthread/core/catalog.py
@@ -44,6 +44,8 @@
     connection_limit: int
     #: Statements per second that a cold member takes; 0 means no limit.
     cold_rate: float
+    #: Whether a commit is acknowledged only once a replica has received it.
+    synchronous: bool = False
 
 
 class Configuration(NamedTuple):
--- a/godwitthread/events.py
+++ b/godwitthread/events.py
@@ -100,6 +100,7 @@
         _entry(307, 'duty_taken', 'duty of promotions taken'),
         _entry(308, 'promotion_ordered', 'promotion ordered'),
         _entry(309, 'evidence_not_renewed', 'position of the primary not learned', logging.WARNING),
+        _entry(310, 'replica_resumed', 'replica receives again'),
         _entry(401, 'request_refused', 'request refused', logging.DEBUG),
         _entry(402, 'request_unknown', 'outcome of a request unknown', logging.WARNING),
         _entry(403, 'transaction_rolled_back', 'transaction rolled back'),
--- a/godwitthread/gateway/duty.py
+++ b/godwitthread/gateway/duty.py
@@ -53,6 +53,8 @@
 
     done: bool
     refused: bool
+    #: Whether nothing of the order can take effect later.
+    final: bool = True
 
 
 _holders = msgspec.json.Decoder(Holder)
@@ -124,7 +126,7 @@
         if self._refusals >= MOST_REFUSALS:
             # A member that is not running is refused as well, but not again and again.
             self.lose()
-        return OrderAnswer(result.done, result.refused)
+        return OrderAnswer(result.done, result.refused, result.final)
 
     def lose(self) -> None:
         """Note that another instance holds the duty."""
--- a/godwitthread/gateway/failover.py
+++ b/godwitthread/gateway/failover.py
@@ -14,7 +14,7 @@
 )
 from godwitthread.errors import ErrorKind, ProxyError
 from godwitthread.gateway.duty import OrderRequest
-from godwitthread.gateway.ports import NotConnectedError
+from godwitthread.gateway.replicas import Replicas
 from godwitthread.loop import eventlet
 
 if TYPE_CHECKING:
@@ -35,8 +35,15 @@
 CATCH_UP_MS = 1_500
 #: Time that a promoted member has until it leads, in ms; the platforms take 0.3 to 1 s.
 LEAD_MS = 2_500
-#: Limit of a question to a member, in ms.
-STATUS_TIMEOUT_MS = 300
+#: Errors of an order that reached neither the holder of the duty nor the platform.
+NOT_ORDERED = frozenset(
+    {
+        ErrorKind.BACKEND_UNAVAILABLE,
+        ErrorKind.MOVED,
+        ErrorKind.STORE_UNAVAILABLE,
+        ErrorKind.STORE_UNKNOWN,
+    }
+)
 #: Interval of looks at what is awaited, in ms.
 STEP_MS = 20
 #: Time after which another planned change of the same primary is tried, in ms.
@@ -54,17 +61,27 @@
         order: Callable[[OrderRequest], OrderAnswer],
     ) -> None:
         self._runner = runner
+        self._replicas = Replicas(runner, log)
         self._clock = clock
         self._log = log
         self._order = order
         self._next_ms = 0
         self._unknown_since_ms = 0
         self._running = False
+        #: Whether an order may still take effect that nobody saw take effect.
+        self._order_open = False
+
+    def begin(self) -> None:
+        """Take over from another owner, which may have left replicas paused."""
+        if self._runner.synchronous:
+            eventlet.spawn_n(self._replicas.resume_left_paused)
 
     def tick(self) -> None:
         """Look for a reason to replace the primary, and do it in a thread of its own."""
         now_ms = self._clock.now_ms()
         reason = reason_to_replace(self._signs(now_ms))
+        if reason is None and self._order_open:
+            reason = 'order_open'
         if reason == 'no_primary':
             self._unknown_since_ms = self._unknown_since_ms or now_ms
             if now_ms - self._unknown_since_ms < UNKNOWN_MS or not self._runner.members:
@@ -108,7 +125,7 @@
         # Nothing more is sent to a primary that is lost or about to hand over.
         self._runner.hold(True)
         try:
-            chosen = self._prepare_planned() if planned else self._choose(None)
+            chosen = self._prepare_planned() if planned else self._choose_safe(None)
             if chosen is None:
                 self._log.failure(
                     'promotion_failed',
@@ -125,9 +142,10 @@
                 successor=chosen.id,
                 received=str(chosen.received),
             )
+            self._order_open = True
             answer = self._order(OrderRequest(self._runner.name, chosen.id))
-            if answer.done:
-                self._await_lead(chosen.id)
+            leads = answer.done and self._await_lead(chosen.id)
+            self._order_open = not (leads or (answer.final and not answer.done))
             took_ms = self._clock.now_ms() - started_ms
             self._log.event(
                 'member_promoted' if answer.done else 'promotion_failed',
@@ -136,23 +154,28 @@
                 took_ms=took_ms,
             )
         except ProxyError as exc:
+            self._order_open = self._order_open and exc.kind not in NOT_ORDERED
             self._log.failure(
                 'promotion_failed', group=self._runner.name, reason=reason, detail=exc.message
             )
         finally:
+            if not self._order_open:
+                # A replica that received more now would lose it to an order that comes late.
+                self._replicas.resume()
             self._runner.hold(False)
             gap_ms = PLANNED_RETRY_MS if planned else ORDER_GAP_MS
             self._next_ms = self._clock.now_ms() + gap_ms
             self._running = False
 
-    def _await_lead(self, member_id: str) -> None:
+    def _await_lead(self, member_id: str) -> bool:
         """Wait until the member leads, which it does some time after the order."""
         end_ms = self._clock.now_ms() + LEAD_MS
         while self._clock.now_ms() < end_ms:
             if self._runner.leads(member_id):
                 self._runner.promoted(member_id)
-                return
+                return True
             eventlet.sleep(STEP_MS / 1000)
+        return False
 
     def _still_silent(self) -> bool:
         """Ask a silent primary once more: a single lost answer is no reason to replace it."""
@@ -178,35 +201,42 @@
         end_ms = self._clock.now_ms() + CATCH_UP_MS
         while True:
             chosen = self._choose(wanted)
+            if chosen is not None and self._runner.synchronous:
+                chosen = self._choose_paused(wanted)
             if chosen is not None:
                 return chosen
             if self._clock.now_ms() >= end_ms:
                 raise ProxyError(ErrorKind.BACKEND_UNAVAILABLE, 'no replica caught up in time')
             eventlet.sleep(STEP_MS / 1000)
 
+    def _choose_safe(self, wanted: Position | None) -> Candidate | None:
+        if self._runner.synchronous:
+            return self._choose_paused(wanted)
+        return self._choose(wanted)
+
     def _choose(self, wanted: Position | None) -> Candidate | None:
         """Ask the other members what they received, and return the best one."""
-        pool = eventlet.GreenPool()
-        others = [each for each in self._runner.members if each != self._runner.last_primary]
-        chosen = successor(pool.imap(self._ask, others), self._runner.last_primary)
-        behind = chosen is None or chosen.received is None or (wanted and chosen.received < wanted)
-        return None if behind else chosen
-
-    def _ask(self, member_id: str) -> Candidate:
-        member = self._runner.members.get(member_id)
-        pool = self._runner.pools.get(member_id)
-        state = self._runner.dispatcher.members.get(member_id)
-        if member is None or pool is None or state is None or not state.usable:
-            return Candidate(member_id, None, usable=False)
-        organisation = pool.any_organisation() or self._runner.any_organisation()
-        if organisation is None:
-            return Candidate(member_id, None, usable=False)
-        try:
-            conn = pool.lend(organisation, {}, STATUS_TIMEOUT_MS)
-        except NotConnectedError as exc:
-            self._log.failure('connection_refused', member=member_id, reason=exc.refusal.value)
-            return Candidate(member_id, None, usable=False)
-        status = conn.status(STATUS_TIMEOUT_MS)
-        pool.give_back(conn)
-        received = status.received if status else state.position
-        return Candidate(member_id, received, usable=status is not None)
+        chosen = successor(self._replicas.survey(), self._runner.last_primary)
+        return None if _lacks(chosen, wanted) else chosen
+
+    def _choose_paused(self, wanted: Position | None) -> Candidate | None:
+        """Return the replica that holds every acknowledged commit, None if it is not certain.
+
+        Any replica may be the one that received a commit, so that all have to answer.
+        """
+        told = self._replicas.pause(self._replicas.others())
+        newest = max((each.received for each in told if each.received), default=None)
+        if newest is None or any(each.received is None for each in told):
+            return None
+        chosen = successor(told, self._runner.last_primary)
+        if _lacks(chosen, newest):
+            # A draining replica is promoted rather than a commit lost.
+            able = [each._replace(usable=True) for each in told]
+            chosen = successor(able, self._runner.last_primary)
+        return None if _lacks(chosen, wanted) else chosen
+
+
+def _lacks(chosen: Candidate | None, wanted: Position | None) -> bool:
+    if chosen is None or chosen.received is None:
+        return True
+    return wanted is not None and chosen.received < wanted
--- a/godwitthread/gateway/member_group.py
+++ b/godwitthread/gateway/member_group.py
@@ -91,6 +91,11 @@
         self._find_primary(now_ms)
         self.pump()
 
+    @property
+    def synchronous(self) -> bool:
+        """Tell whether a commit is acknowledged only once a replica has received it."""
+        return self._group is not None and self._group.synchronous
+
     def rest(self) -> None:
         """Close idle connections, since another instance owns the group now."""
         for pool in self.pools.values():
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -327,6 +327,7 @@
                 self._owned.add(name)
                 self.log.event('group_owned', group=name)
                 runner.resume()
+                self._failovers[name].begin()
             elif not owned and name in self._owned:
                 self._owned.discard(name)
                 self.log.event('group_left', group=name)
--- a/godwitthread/gateway/ports.py
+++ b/godwitthread/gateway/ports.py
@@ -19,6 +19,8 @@
     primary: bool
     term: int
     received: Position | None
+    #: Term for which the member stopped receiving, not above its own term if it receives.
+    held_term: int = 0
 
 
 class NotConnectedError(Exception):
@@ -78,6 +80,12 @@
     def status(self, timeout_ms: int) -> MemberStatus | None:
         """Ask the member for its state."""
 
+    def pause(self, term: int, timeout_ms: int) -> MemberStatus | None:
+        """Stop a replica from receiving, for a term above the newest one."""
+
+    def resume(self, timeout_ms: int) -> MemberStatus | None:
+        """Let a paused replica receive again."""
+
     def close(self) -> None:
         """Close the connection."""
 
--- a/godwitthread/platform/members.py
+++ b/godwitthread/platform/members.py
@@ -4,8 +4,6 @@
 
 from typing import TYPE_CHECKING, Any
 
-from eventlet import patcher
-
 from godwitthread.core.statements import Refusal, Reply, TxState
 from godwitthread.gateway.ports import MemberStatus, NotConnectedError
 from godwitthread.platform.lines import (
@@ -16,7 +14,7 @@
     format_position,
     parse_position,
 )
-from godwitthread.sockets import connect, sever
+from godwitthread.sockets import connect, is_silent, sever
 
 if TYPE_CHECKING:
     from godwitthread.core.catalog import Member
@@ -26,9 +24,6 @@
 #: Limit for opening a connection, in ms: the set-up takes 10 to 30 ms at an idle member.
 CONNECT_TIMEOUT_MS = 400
 
-# The cooperative version would wait for the event loop even with a limit of 0.
-select = patcher.original('select').select
-
 _REFUSALS = {
     'BUSY': Refusal.BUSY,
     'NOSTMT': Refusal.UNPREPARED,
@@ -66,10 +61,9 @@
         """Tell whether an idle connection is still open; a member sends nothing unasked."""
         if self.closed:
             return False
-        readable, _, _ = select([self._sock.fileno()], [], [], 0)
-        if readable:
+        if not is_silent(self._sock):
             self.close()
-        return not readable
+        return not self.closed
 
     def read_greeting(self) -> Reply:
         """Return the answer to the start of the connection."""
@@ -131,13 +125,15 @@
 
     def status(self, timeout_ms: int) -> MemberStatus | None:
         """Ask the member for its state, None without a usable answer."""
-        reply = self.run(OWN_ID, 'STATUS', timeout_ms)
-        if reply.refusal or not reply.rows:
-            return None
-        role, term, received, *_ = reply.rows[0].split(' ')
-        if not term.isdecimal():
-            return None
-        return MemberStatus(role == 'primary', int(term), parse_position(received))
+        return self._told('STATUS', timeout_ms)
+
+    def pause(self, term: int, timeout_ms: int) -> MemberStatus | None:
+        """Stop the member from receiving; return its state, None without a usable answer."""
+        return self._told(f'PAUSE {term}', timeout_ms)
+
+    def resume(self, timeout_ms: int) -> MemberStatus | None:
+        """Let the member receive again; return its state, None without a usable answer."""
+        return self._told('RESUME', timeout_ms)
 
     def close(self) -> None:
         """Close the connection; the member rolls an open transaction back."""
@@ -147,6 +143,18 @@
         else:
             self._sock.close()
 
+    def _told(self, text: str, timeout_ms: int) -> MemberStatus | None:
+        reply = self.run(OWN_ID, text, timeout_ms)
+        if reply.refusal or not reply.rows:
+            return None
+        # Role, term, position received, term held, lag in ms, and more.
+        fields = reply.rows[0].split(' ')
+        if len(fields) < 4 or not fields[1].isdecimal():
+            return None
+        held_term = int(fields[3]) if fields[3].isdecimal() else 0
+        received = parse_position(fields[2])
+        return MemberStatus(fields[0] == 'primary', int(fields[1]), received, held_term)
+
     def _own(self, text: str, timeout_ms: int) -> bool:
         return self.run(OWN_ID, text, timeout_ms).refusal is None
 
--- a/godwitthread/platform/records.py
+++ b/godwitthread/platform/records.py
@@ -46,7 +46,11 @@
     routes = {route['Host']: _route(route) for route in data['Routes']}
     groups = {
         service['Name']: Group(
-            service['Name'], int(service['MaxConns']), float(service.get('ColdPerS') or 0)
+            service['Name'],
+            int(service['MaxConns']),
+            float(service.get('ColdPerS') or 0),
+            # The number of replicas that a commit waits for.
+            synchronous=int(service.get('SyncReplicas') or 0) > 0,
         )
         for service in data['Services']
     }
--- a/tests/test_gateway/fakes.py
+++ b/tests/test_gateway/fakes.py
@@ -54,6 +54,8 @@
         #: Refusal that the next statement with a text beginning so gets, by prefix.
         self.script: list[tuple[str, Refusal]] = []
         self.unreachable: set[str] = set()
+        #: Term for which a replica stopped receiving, by name.
+        self.paused: dict[str, int] = {}
         self.connections: list[FakeConnection] = []
 
     def promote(self, name: str) -> None:
@@ -162,7 +164,17 @@
 
     def status(self, timeout_ms):
         primary = self.member == self.group.primary
-        return MemberStatus(primary, self.group.term, self.group.applied[self.member])
+        held = self.group.paused.get(self.member, 0)
+        return MemberStatus(primary, self.group.term, self.group.applied[self.member], held)
+
+    def pause(self, term, timeout_ms):
+        assert term > self.group.term
+        self.group.paused[self.member] = term
+        return self.status(timeout_ms)
+
+    def resume(self, timeout_ms):
+        self.group.paused.pop(self.member, None)
+        return self.status(timeout_ms)
 
     def close(self):
         self.closed = True
@@ -211,11 +223,15 @@
     return Ports(group.connect, lambda: None, schema, promote)
 
 
-def runner(group: FakeGroup, admit=lambda organisation, wait_ms, hold_ms: 0) -> GroupRunner:
+def runner(
+    group: FakeGroup,
+    admit=lambda organisation, wait_ms, hold_ms: 0,
+    settings: Group = GROUP,
+) -> GroupRunner:
     """Build a runner that knows the members of a fake group."""
     clock = Clock()
     made = GroupRunner(GROUP.name, clock, ports(group), quiet_log(clock), admit)
-    made.update(GROUP, members(group), set(), 3_000)
+    made.update(settings, members(group), set(), 3_000)
     return made
 
 
--- a/tests/test_gateway/test_failover.py
+++ b/tests/test_gateway/test_failover.py
@@ -144,5 +144,81 @@
         assert made.last_primary == 'm1'
 
 
+@pytest.fixture
+def synchronous():
+    """Build a group whose commits wait for a replica, with its failover and its orders."""
+    group = FakeGroup()
+    made = runner(group, settings=GROUP._replace(synchronous=True))
+    orders: list[tuple[str, dict[str, int]]] = []
+
+    def order(request):
+        orders.append((request.member, dict(group.paused)))
+        group.promote(request.member)
+        return OrderAnswer(True, False)
+
+    over = failover.Failover(made, Clock(), quiet_log(Clock()), order)
+    made.run('a', request('READ i'))
+    return group, made, over, orders
+
+
+def test_replicas_stop_receiving_before_they_are_compared(synchronous):
+    """Guard against a commit that is acknowledged by a replica after it was compared."""
+    group, made, over, orders = synchronous
+    group.applied['m1'], group.applied['m2'] = Position(1, 12), Position(1, 11)
+    made.pools['m0'].refused_since_ms = 1
+    settle(over)
+    assert orders == [('m1', {'m1': 2, 'm2': 2})]
+    eventlet.sleep(0.05)
+    assert group.paused == {}
+
+
+def test_no_replica_is_promoted_while_another_may_hold_more(synchronous):
+    """Guard against the loss of a commit that only a silent replica received."""
+    group, made, over, orders = synchronous
+    made.pools['m0'].refused_since_ms = 1
+    group.unreachable.add('m1')
+    made.pools['m1'].close_idle()
+    settle(over)
+    assert orders == []
+    assert 'm2' not in group.paused
+
+
+def test_a_draining_replica_leads_rather_than_a_commit_is_lost(synchronous):
+    """Guard against the choice of a usable replica that lacks an acknowledged commit."""
+    group, made, over, orders = synchronous
+    entries = members(group)
+    entries['m1'] = entries['m1']._replace(draining=True)
+    made.update(GROUP._replace(synchronous=True), entries, set(), 3_000)
+    group.applied['m1'] = Position(1, 12)
+    made.pools['m0'].refused_since_ms = 1
+    settle(over)
+    assert [member for member, _ in orders] == ['m1']
+
+
+def test_replicas_stay_paused_while_an_order_may_come_late(synchronous, monkeypatch):
+    """Guard against commits that a replica receives before a late order rolls them back."""
+    group, made, over, orders = synchronous
+    monkeypatch.setattr(failover, 'ORDER_GAP_MS', 0)
+    made.pools['m0'].refused_since_ms = 1
+    good, over._order = over._order, lambda request: OrderAnswer(False, False, final=False)
+    settle(over)
+    assert set(group.paused) == {'m1', 'm2'}
+    made.pools['m0'].refused_since_ms = 0
+    over._order = good
+    settle(over)
+    eventlet.sleep(0.05)
+    assert len(orders) == 1
+    assert group.paused == {}
+
+
+def test_a_new_owner_lets_paused_replicas_receive(synchronous):
+    """Guard against commits that wait without end for replicas whose owner is gone."""
+    group, made, over, _ = synchronous
+    group.paused['m2'] = 2
+    over.begin()
+    eventlet.sleep(0.05)
+    assert group.paused == {}
+
+
 def _fail(request):
     raise ProxyError(ErrorKind.STORE_UNAVAILABLE, 'no store')
