Learn a replica's lag from what a refusal proves, and hear of the store's return at once

The primary alone carried the group until 22 s, 6 s after the cut had ended. - After the loss of power in an outage of the store, every table waited out a pause of its own and connections hung for 2 s; instances had a configuration and no list of peers, and owned nothing for 3 s after the store's return. 1,900 statements were held for 360 ms each and then refused. - 10,530 connections for 26,067 requests: half of the limit stood empty, and reads went where no connection of their organisation was open. Ruled out: a failover that hung (no promotion was due), the majority (it held).

Change: a refusal proves the lag that it shows and no more; the first success of a table wakes all that wait for the store; a connection that can't be opened is no call and is tried again at a steady interval; without an owner for 1.5 s statements are refused within a fifth of their objective; the cost of opening a connection counts in the choice of a member; idle connections leave three free for each slot.

--- a/godwitthread/core/dispatch.py
+++ b/godwitthread/core/dispatch.py
@@ -8,7 +8,7 @@
 from godwitthread.types import Position
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
 #: Statements sent to a member beyond its slots, so that the next one is there
 #: when a slot falls free. One hides a round trip between failure domains.
@@ -18,10 +18,18 @@
 #: Bounds of the estimate of a replica's lag, in ms.
 LEAST_LAG_MS = 40
 MOST_LAG_MS = 8_000
+#: A replica that lacked a commit is expected to lack it until this many times its age, so
+#: that one which still lags is asked again after a tenth of the age, and not at once.
+LAG_GROWTH = 1.1
 #: Weight of the newest sample in moving averages.
 NEWEST_SHARE = 0.1
 #: Service time assumed before the first measurement, in ms.
 FIRST_SERVICE_MS = 15.0
+#: Time to open a connection assumed before the first measurement, in ms.
+FIRST_SETUP_MS = 15.0
+#: Load of a free primary in the eyes of a read, as a share of its slots: writes run nowhere
+#: else.
+PRIMARY_LOAD = 0.5
 #: Service times after which a statement counts as unanswered for good, if the member has
 #: answered one that was sent later, and the least such time in ms.
 OVERDUE_SERVICE_TIMES = 5
@@ -49,6 +57,8 @@
     priority: int = 0
     #: Members that have already failed this work.
     avoid: frozenset[str] = frozenset()
+    #: Organisation in whose name it runs.
+    organisation: str = ''
 
 
 class MemberState:
@@ -70,6 +80,10 @@
         self._lag_ms: float = FIRST_LAG_MS
         self._lagged_ms = 0
         self.service_ms = FIRST_SERVICE_MS
+        #: Time to open a connection, in ms, which takes a slot as well.
+        self.setup_ms = FIRST_SETUP_MS
+        #: Tells whether an open connection of an organisation is idle.
+        self.has_connection: Callable[[str], bool] = lambda _: False
         self.paused_until_ms = 0
         #: Failures in a row.
         self.failures = 0
@@ -102,6 +116,15 @@
         """
         return sum(not self._is_overdue(now_ms, began_ms) for began_ms in self._began)
 
+    def cost(self, now_ms: int, organisation: str) -> float:
+        """Return the load that the next statement of an organisation meets, in slots."""
+        setup = 0.0 if self.has_connection(organisation) else self.setup_ms / self.service_ms
+        return (self.load(now_ms) + setup) / self.slots
+
+    def note_setup(self, took_ms: int) -> None:
+        """Record how long it took to open a connection."""
+        self.setup_ms += (took_ms - self.setup_ms) * NEWEST_SHARE
+
     def next_overdue_ms(self, now_ms: int) -> int | None:
         """Return when a statement stops taking a slot without an answer."""
         overdue_ms = self._overdue_ms()
@@ -182,8 +205,11 @@
         return math.ceil(now_ms + (missing_ms / 2 if falling else missing_ms))
 
     def behind(self, now_ms: int, age_ms: int) -> None:
-        """Record that a position of the given age was not applied yet."""
-        raised = max(self.lag_ms(now_ms) * 1.5, age_ms + LEAST_LAG_MS)
+        """Record that a position of the given age was not applied yet.
+
+        It proves a lag of that age and no more, however many statements find it out.
+        """
+        raised = max(self.lag_ms(now_ms), age_ms * LAG_GROWTH + LEAST_LAG_MS)
         self._lag_ms, self._lagged_ms = min(MOST_LAG_MS, raised), now_ms
 
     def caught_up(self, now_ms: int, age_ms: int) -> None:
@@ -316,7 +342,8 @@
         return min(
             able,
             key=lambda member: (
-                member.load(now_ms) / member.slots + (0.5 if member.id == self.primary else 0.0),
+                member.cost(now_ms, work.organisation)
+                + (PRIMARY_LOAD if member.id == self.primary else 0.0),
                 member.service_ms,
                 member.id,
             ),
--- a/godwitthread/gateway/groups.py
+++ b/godwitthread/gateway/groups.py
@@ -6,6 +6,7 @@
 
 import xxhash
 
+from godwitthread.core import waiting
 from godwitthread.core.dispatch import Work
 from godwitthread.core.statements import (
     NOT_RUN,
@@ -19,7 +20,6 @@
 from godwitthread.errors import ErrorKind
 from godwitthread.gateway.member_group import (
     BUSY_PAUSE_MS,
-    HOLD_SHARE,
     OWN_TIMEOUT_MS,
     MemberGroup,
 )
@@ -35,9 +35,6 @@
     from godwitthread.gateway.ports import Ports
     from godwitthread.types import Position
 
-#: Share of the objective that an operation may wait for its organisation's rate. The
-#: platform prices a refusal that comes later than a quarter.
-RATE_WAIT_SHARE = 0.2
 #: Least time in which an answer can be had, in ms; with less left nothing is sent.
 LEAST_TIME_MS = 5
 #: A read without an answer for this many service times is sent to another member too.
@@ -95,8 +92,8 @@
         if req.first:
             wait_ms = self._admit(
                 req.organisation,
-                int(req.objective_ms * RATE_WAIT_SHARE),
-                int(req.remaining_ms * HOLD_SHARE / 2),
+                waiting.early_ms(req.objective_ms),
+                waiting.hold_ms(req.remaining_ms) // 2,
             )
             if wait_ms:
                 return failure(
@@ -420,10 +417,11 @@
             deadline_ms=hold_ms,
             priority=req.priority,
             avoid=frozenset(avoid),
+            organisation=req.organisation,
         )
 
     def _hold_until(self, req: RunRequest) -> int:
-        return self._clock.now_ms() + int(req.remaining_ms * HOLD_SHARE)
+        return self._clock.now_ms() + waiting.hold_ms(req.remaining_ms)
 
 
 def _success(reply: Reply) -> Result:
--- a/godwitthread/gateway/member_group.py
+++ b/godwitthread/gateway/member_group.py
@@ -5,6 +5,7 @@
 import itertools
 from typing import TYPE_CHECKING
 
+from godwitthread.core import waiting
 from godwitthread.core.dispatch import Dispatcher, MemberState, Work
 from godwitthread.core.evidence import Evidence
 from godwitthread.core.statements import NOT_RUN, Refusal, Reply, Result, RunRequest, failure
@@ -20,9 +21,6 @@
     from godwitthread.gateway.ports import Connection, Ports
     from godwitthread.types import Position
 
-#: Share of the time of a statement that it may wait for a member before it is refused,
-#: so that the caller has time to come back.
-HOLD_SHARE = 0.45
 #: Pause after a member was busy, in ms; about one statement's service time.
 BUSY_PAUSE_MS = 10
 #: Pause after a primary could not be asked for its position, in ms.
@@ -218,7 +216,7 @@
         try:
             if pool is None:
                 raise NotConnectedError(Refusal.UNREACHABLE, 'member left')
-            left_ms = int(self._left_ms(deadline_ms) * HOLD_SHARE)
+            left_ms = waiting.hold_ms(self._left_ms(deadline_ms))
             return pool.lend(req.organisation, dict(req.values), left_ms)
         except NotConnectedError as exc:
             self._log.failure(
@@ -330,9 +328,9 @@
         state.cold_until_ms = now_ms + member.cold_ms
         self.dispatcher.members[member.id] = state
         limit = self._group.connection_limit if self._group else 1
-        self.pools[member.id] = MemberPool(
-            member, limit, self._clock, self._ports.connect, self._greeted
-        )
+        pool = MemberPool(member, limit, self._clock, self._ports.connect, self._greeted)
+        self.pools[member.id] = pool
+        state.has_connection = pool.has_idle
         self._deposed.discard(member.id)
 
     def _drop(self, member_id: str) -> None:
@@ -341,10 +339,11 @@
         if pool is not None:
             pool.close_idle()
 
-    def _greeted(self, member_id: str, reply: Reply) -> None:
+    def _greeted(self, member_id: str, reply: Reply, took_ms: int) -> None:
         state = self.dispatcher.members.get(member_id)
         if state is not None:
             state.see(reply.position)
+            state.note_setup(took_ms)
 
     def _left_ms(self, deadline_ms: int) -> int:
         return max(1, deadline_ms - self._clock.now_ms())
--- a/godwitthread/gateway/members.py
+++ b/godwitthread/gateway/members.py
@@ -18,9 +18,10 @@
 
 #: Wait for a connection that another statement holds, between two looks, in ms.
 RECHECK_MS = 20
-#: Share of the limit up to which idle connections are kept. A member keeps those of an
-#: instance that lost power for 3 s, and the next owner needs room meanwhile.
-KEPT_SHARE = 0.5
+#: Connections for each slot that stay free of idle ones. A member keeps the connections of
+#: an instance that lost power for 3 s, and the next owner needs room meanwhile: one that
+#: works, one that waits for the slot, and one inside a transaction that pauses.
+SPARE_PER_SLOT = 3
 
 
 class MemberPool:
@@ -32,7 +33,7 @@
         limit: int,
         clock: Clock,
         connect: Callable[[Member, str], tuple[Connection, Reply]],
-        on_greeting: Callable[[str, Reply], None],
+        on_greeting: Callable[[str, Reply, int], None],
     ) -> None:
         self.member = member
         #: Connections that may be open, opening ones included.
@@ -82,9 +83,13 @@
             return
         conn.used_ms = self._clock.now_ms()
         self._idle.append(conn)
-        if self.total > self.limit * KEPT_SHARE:
+        if self.total > max(self.member.slots, self.limit - SPARE_PER_SLOT * self.member.slots):
             self._close_one_idle()
 
+    def has_idle(self, organisation: str) -> bool:
+        """Tell whether a connection of an organisation is open and idle."""
+        return any(conn.organisation == organisation for conn in self._idle)
+
     def any_organisation(self) -> str | None:
         """Return an organisation with a connection, idle if possible, None without any."""
         conn = next(iter([*self._idle, *self._lent]), None)
@@ -123,6 +128,7 @@
 
     def _open(self, organisation: str) -> Connection:
         self._opening += 1
+        begun_ms = self._clock.now_ms()
         try:
             conn, reply = self._connect(self.member, organisation)
         except NotConnectedError as exc:
@@ -135,5 +141,5 @@
         self.refused_since_ms = 0
         conn.used_ms = self._clock.now_ms()
         self._lent.add(conn)
-        self._on_greeting(self.member.id, reply)
+        self._on_greeting(self.member.id, reply, conn.used_ms - begun_ms)
         return conn
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from godwitthread.core import ownership
+from godwitthread.core import ownership, waiting
 from godwitthread.core.allowance import Grant
 from godwitthread.core.ownership import Reach
 from godwitthread.core.statements import Action, Result, RunRequest, failure
@@ -20,8 +20,8 @@
 from godwitthread.gateway.groups import TICK_MS, GroupRunner
 from godwitthread.gateway.limits import GrantRequest, Limits
 from godwitthread.gateway.links import Condition, Hello, Link
-from godwitthread.gateway.member_group import HOLD_SHARE
 from godwitthread.gateway.sessions import ANONYMOUS, Sessions
+from godwitthread.gateway.store_health import StoreHealth
 from godwitthread.gateway.view import PEER_TABLE, View, encode_peer
 from godwitthread.gateway.watching import GAP_MS, PEER_GAP_MS, Watcher
 from godwitthread.loop import eventlet
@@ -45,6 +45,9 @@
 #: Time after the start until an instance owns something although it has not reached all
 #: candidates, in ms. When all start at once, each would own everything otherwise.
 SETTLE_MS = 400
+#: Interval at which an instance looks whether its entry stands in the store, in ms. Others
+#: learn its address from the entry.
+REGISTER_MS = 2_000
 #: Time without a majority after which callers are sent to other instances, in ms.
 MINORITY_MS = 400
 
@@ -87,8 +90,10 @@
         self._candidates: list[str] = []
         self._owned: set[str] = set()
         self._watchers: list[Watcher] = []
+        self._store_health = StoreHealth()
         self._organisations: dict[str, Organisation] = {}
         self._down_since_ms: dict[str, int] = {}
+        self._ownerless_since_ms: dict[str, int] = {}
         self._registered_revision = 0
         self._hello = Hello(peer.name, peer.incarnation)
 
@@ -100,7 +105,14 @@
             gap_ms = PEER_GAP_MS if table == PEER_TABLE else GAP_MS
             store = self._ports.store()
             watcher = Watcher(
-                table, gap_ms, store, self.view, self.log, self.follower.relay, self._reads_store
+                table,
+                gap_ms,
+                store,
+                self.view,
+                self.log,
+                self.follower.relay,
+                self._reads_store,
+                self._store_health,
             )
             self._watchers.append(watcher)
             eventlet.spawn(watcher.run)
@@ -146,7 +158,6 @@
         if holder is not None:
             return self._run_held(req, holder), holder
         started_ms = self.clock.now_ms()
-        hold_ms = started_ms + int(req.remaining_ms * HOLD_SHARE)
         while True:
             now_ms = self.clock.now_ms()
             left = req._replace(
@@ -154,6 +165,8 @@
                 objective_ms=max(0, req.objective_ms - (now_ms - started_ms)),
             )
             owner = self._owner(f'group/{req.group}')
+            ownerless_ms = self._ownerless_ms(req.group, owner, now_ms)
+            wait_ms = waiting.owner_wait_ms(req.remaining_ms, req.objective_ms, ownerless_ms)
             try:
                 if owner is None:
                     raise ProxyError(ErrorKind.BACKEND_UNAVAILABLE, 'no instance owns the group')
@@ -162,13 +175,21 @@
                 not_run = exc.kind in (ErrorKind.BACKEND_UNAVAILABLE, ErrorKind.MOVED)
                 if not not_run and not _repeatable(req):
                     return _unknown(req, exc), owner
-                if self.clock.now_ms() + ROUTE_RETRY_MS >= hold_ms:
+                if self.clock.now_ms() + ROUTE_RETRY_MS >= started_ms + wait_ms:
                     if not not_run:
                         return failure(ErrorKind.CONNECTION_LOST, exc.message), owner
                     kind = ErrorKind.BACKEND_UNAVAILABLE
                     return failure(kind, exc.message, ROUTE_RETRY_MS, True), owner
             eventlet.sleep(ROUTE_RETRY_MS / 1000)
 
+    def _ownerless_ms(self, group: str, owner: str | None, now_ms: int) -> int:
+        """Return for how long this instance has known no owner of a group, in ms."""
+        if owner is not None:
+            self._ownerless_since_ms.pop(group, None)
+            return 0
+        since_ms = now_ms if self._settled else self._started_ms
+        return now_ms - self._ownerless_since_ms.setdefault(group, since_ms)
+
     def _run_at(self, owner: str, req: RunRequest) -> Result:
         if owner == self.peer.name:
             return self._run_here(self._sender(), req)
@@ -394,7 +415,8 @@
                     self.log.failure('store_unavailable', table=PEER_TABLE, reason=exc.message)
             if not self.duty.held and self._first_candidate():
                 self._take_vacant_duty()
-            eventlet.sleep(random.uniform(0.8, 1.2) * 2)
+            wait_ms = random.uniform(0.8, 1.2) * REGISTER_MS
+            self._store_health.wait(wait_ms, self._store_health.returns)
 
     def _first_candidate(self) -> bool:
         return self._owner('duty') == self.peer.name
--- a/godwitthread/gateway/ports.py
+++ b/godwitthread/gateway/ports.py
@@ -7,6 +7,7 @@
 
 from godwitthread.core.catalog import Configuration, Member
 from godwitthread.core.statements import Reply
+from godwitthread.errors import ErrorKind, ProxyError
 from godwitthread.types import Position
 
 if TYPE_CHECKING:
@@ -115,6 +116,13 @@
     """Report a conditional write whose condition did not hold."""
 
 
+class StoreUnreachableError(ProxyError):
+    """Report that no connection to the store could be opened, so that nothing was called."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(ErrorKind.STORE_UNAVAILABLE, message)
+
+
 class Store(Protocol):
     """Client of the store; calls raise ProxyError with a kind of the store."""
 
--- a/godwitthread/gateway/watching.py
+++ b/godwitthread/gateway/watching.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from godwitthread.errors import ProxyError
-from godwitthread.gateway.ports import HistoryLostError
+from godwitthread.gateway.ports import HistoryLostError, StoreUnreachableError
 from godwitthread.loop import eventlet
 
 if TYPE_CHECKING:
@@ -14,6 +14,7 @@
 
     from godwitthread.gateway.logs import Log
     from godwitthread.gateway.ports import Store
+    from godwitthread.gateway.store_health import StoreHealth
     from godwitthread.gateway.view import View
 
 #: Longest wait for a change, in ms; the store allows 30 s. Keep-alive probes find a
@@ -25,7 +26,8 @@
 #: The same for the table of instances, which all write when a deployment starts.
 PEER_GAP_MS = 1_000
 #: Pause after a failed call, in ms, drawn between half of it and the whole. It doubles
-#: with each further failure, as every call is priced, and peers tell what is new meanwhile.
+#: with each further refusal, as every call is priced, and peers tell what is new meanwhile.
+#: A connection that can't be opened is no call.
 RETRY_MS = 400
 MOST_RETRY_MS = 1_600
 #: Pause between two questions to a peer while the store does not answer, in ms.
@@ -44,6 +46,7 @@
         log: Log,
         relay: Callable[[], None],
         reads_store: Callable[[], bool],
+        health: StoreHealth,
     ) -> None:
         self.table = table
         #: Whether the last call succeeded.
@@ -55,6 +58,7 @@
         self._relay = relay
         #: Tells whether this instance reads the store itself.
         self._reads_store = reads_store
+        self._health = health
         self._complete = False
         self._retry_ms = RETRY_MS
 
@@ -73,18 +77,21 @@
             except ProxyError as exc:
                 self._note(False, exc.message)
                 self._pause()
+                if not isinstance(exc, StoreUnreachableError):
+                    self._retry_ms = min(MOST_RETRY_MS, 2 * self._retry_ms)
                 continue
             self._note(True, '')
             self._retry_ms = RETRY_MS
             eventlet.sleep(self._gap_ms / 1000)
 
     def _pause(self) -> None:
-        """Wait before the next call, and ask peers meanwhile."""
+        """Wait before the next call or until another caller succeeds, and ask peers meanwhile."""
         wait_ms = random.uniform(self._retry_ms / 2, self._retry_ms)
-        self._retry_ms = min(MOST_RETRY_MS, 2 * self._retry_ms)
+        known = self._health.returns
         while wait_ms > 0:
             self._relay()
-            eventlet.sleep(min(wait_ms, RELAY_MS) / 1000)
+            if self._health.wait(min(wait_ms, RELAY_MS), known):
+                return
             wait_ms -= RELAY_MS
 
     def _follow(self) -> None:
@@ -101,4 +108,6 @@
         if healthy != self.healthy:
             name = 'store_available' if healthy else 'store_unavailable'
             self._log.event(name, table=self.table, reason=reason)
+            if healthy:
+                self._health.returned()
         self.healthy = healthy
--- a/godwitthread/platform/store.py
+++ b/godwitthread/platform/store.py
@@ -14,6 +14,7 @@
     HistoryLostError,
     StoredRow,
     StoredRows,
+    StoreUnreachableError,
 )
 from godwitthread.sockets import connect
 
@@ -22,6 +23,9 @@
 
 #: Limit of a call to the store, in ms. The store answers in 4 ms and may be 60 times slower.
 CALL_TIMEOUT_MS = 2_000
+#: Limit for opening a connection, in ms. The system repeats a lost first packet after 1 s at
+#: the earliest; a new attempt finds a store that is back sooner.
+CONNECT_TIMEOUT_MS = 500
 #: Rows of one page; the store gives no more.
 PAGE_ROWS = 500
 
@@ -90,8 +94,8 @@
     ) -> dict[str, Any]:
         """Return the decoded answer; a failed call closes the connection."""
         sent = False
+        conn = self._connection()
         try:
-            conn = self._connection()
             conn.sock.settimeout(timeout_ms / 1000)
             headers = {'Content-Type': 'application/json'} if body is not None else {}
             data = json.dumps(body).encode() if body is not None else None
@@ -122,7 +126,10 @@
     def _connection(self) -> http.client.HTTPConnection:
         if self._conn is None or self._conn.sock is None:
             conn = http.client.HTTPConnection(self._address.host, self._address.port)
-            conn.sock = connect(self._address, CALL_TIMEOUT_MS)
+            try:
+                conn.sock = connect(self._address, CONNECT_TIMEOUT_MS)
+            except OSError as exc:
+                raise StoreUnreachableError(f'store: {type(exc).__name__}: {exc}') from exc
             self._conn = conn
         return self._conn
 
--- a/tests/test_gateway/test_dispatch.py
+++ b/tests/test_gateway/test_dispatch.py
@@ -200,6 +200,46 @@
     assert state.running == 0
 
 
+def test_a_replica_is_asked_again_soon_after_its_lag_has_ended():
+    """Guard against replicas without reads for seconds after several lagged answers at once.
+
+    Found on fjordkjol-ruter-grown trouble-1: after a cut of 7 s, ten answers of one moment
+    raised the estimate to its limit of 8 s, and a primary alone carried the group for 6 s.
+    """
+    replica = dispatcher(2).members['m1']
+    for _ in range(10):
+        replica.behind(1_000, 2_250)
+    later = [
+        now_ms
+        for now_ms in range(1_000, 9_000, 50)
+        if replica.holds(now_ms, work(1, required=Position(1, 9), required_ms=now_ms - 2_250))
+    ]
+    assert later[0] <= 1_500
+    # One that still lags is not asked by every read.
+    assert later[0] >= 1_100
+
+
+def test_a_read_goes_where_a_connection_of_its_organisation_is_open():
+    """Guard against connections that are opened, and others closed for them, at every read."""
+    made = dispatcher(3, 3)
+    made.members['m2'].has_connection = lambda name: name == 'drivers'
+    made.submit(0, work(1, organisation='drivers'))
+    made.submit(0, work(2, organisation='others'))
+    chosen = {each.work.number: each.member for each in made.assign(0)}
+    assert chosen[1] == 'm2'
+    assert chosen[2] == 'm1'
+
+
+def test_a_busy_member_is_not_preferred_for_its_open_connection():
+    """Guard against a queue at one member while another one is free."""
+    made = dispatcher(3, 3)
+    made.members['m2'].has_connection = lambda name: True
+    for began_ms in range(3):
+        made.members['m2'].begin(began_ms)
+    made.submit(5, work(1, organisation='drivers'))
+    assert [each.member for each in made.assign(5)] == ['m1']
+
+
 def test_a_replica_that_lagged_is_tried_again():
     """Guard against replicas that get no reads for good after they lagged for a while."""
     made = dispatcher(2)
--- /dev/null
+++ b/tests/test_gateway/test_watching.py
@@ -0,0 +1,96 @@
+"""Following of the store while it fails and when it returns."""
+
+from __future__ import annotations
+
+import eventlet
+import pytest
+
+from godwitthread.clock import Clock
+from godwitthread.errors import ErrorKind, ProxyError
+from godwitthread.gateway import watching
+from godwitthread.gateway.ports import StoredRows, StoreUnreachableError
+from godwitthread.gateway.store_health import StoreHealth
+from godwitthread.gateway.view import View
+from godwitthread.gateway.watching import Watcher
+from tests.test_gateway.fakes import FakeGroup, ports, quiet_log
+
+
+class FakeStore:
+    """Store of one table that fails as told."""
+
+    def __init__(self) -> None:
+        self.error: Exception | None = None
+        self.calls = 0
+
+    def table(self, table):
+        return self._answer()
+
+    def changes(self, table, revision, wait_ms):
+        if self.error is None:
+            eventlet.sleep(wait_ms / 1000)
+        return self._answer()
+
+    def _answer(self):
+        self.calls += 1
+        if self.error is not None:
+            raise self.error
+        return StoredRows((), self.calls)
+
+
+@pytest.fixture
+def watch():
+    """Return a function that follows a table of a store; all share one health."""
+    clock, health, threads = Clock(), StoreHealth(), []
+    log = quiet_log(clock)
+    view = View(ports(FakeGroup()).schema, clock, log, lambda _: None)
+
+    def start(table, store):
+        watcher = Watcher(table, 10, store, view, log, lambda: None, lambda: True, health)
+        threads.append(eventlet.spawn(watcher.run))
+        return watcher
+
+    yield start
+    for thread in threads:
+        thread.kill()
+
+
+def test_one_success_wakes_all_that_wait_for_the_store(watch, monkeypatch):
+    """Guard against an instance that owns nothing for seconds after the store is back.
+
+    Found on fjordkjol-ruter-grown trouble-1: each table waited out a pause of its own, and
+    the list of instances came 3 s after the configuration.
+    """
+    first, second = FakeStore(), FakeStore()
+    first.error = second.error = ProxyError(ErrorKind.STORE_UNAVAILABLE, 'busy')
+    waiting = watch('servers', second)
+    eventlet.sleep(0.01)
+    waiting._retry_ms = 60_000
+    monkeypatch.setattr(watching, 'RETRY_MS', 60_000)
+    eventlet.sleep(0.5)
+    first.error = second.error = None
+    calls = second.calls
+    other = watch('op', first)
+    other.healthy = False
+    eventlet.sleep(0.4)
+    assert second.calls > calls
+    assert waiting.healthy
+
+
+def test_refusals_are_met_with_longer_pauses(watch):
+    """Guard against priced calls in quick succession to a store that refuses them."""
+    store = FakeStore()
+    store.error = ProxyError(ErrorKind.STORE_UNAVAILABLE, 'busy')
+    watch('op', store)
+    eventlet.sleep(2.2)
+    assert store.calls <= 5
+
+
+def test_a_store_that_cannot_be_reached_is_tried_at_a_steady_interval(watch, monkeypatch):
+    """Guard against a return of the store that is noticed late after a long silence."""
+    monkeypatch.setattr(watching, 'RETRY_MS', 40)
+    store = FakeStore()
+    store.error = StoreUnreachableError('timed out')
+    watcher = watch('op', store)
+    watcher._retry_ms = 40
+    eventlet.sleep(0.8)
+    assert store.calls >= 15
