Let fast instances own groups, and read the store with a shorter limit

The time to settle counted from the start, so that it was over when the list came.

Change: capacity is the slower of processor and link, instances below half of the best candidate own something only without a faster one; reads of the store end after 0.8 s; settling counts from the list of instances.

--- a/godwitthread/core/ownership.py
+++ b/godwitthread/core/ownership.py
@@ -8,7 +8,7 @@
 from godwitthread.core import rendezvous
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Iterable, Mapping, Sequence
 
     from godwitthread.core.catalog import Peer
 
@@ -22,6 +22,13 @@
 SILENT_MS = 1_000
 
 
+#: Link speed that an owner needs for each core, in Mbit/s: a core passes some 2,000 statements
+#: a second on, each with about 3 KB in and out.
+LINK_MBPS_PER_CORE = 50.0
+#: Share of the largest capacity from which an instance owns something before slower ones.
+FAST_SHARE = 0.5
+
+
 class Reach(NamedTuple):
     """What one instance knows of a peer."""
 
@@ -37,6 +44,11 @@
     duty_token: int = 0
 
 
+def capacity(cores: float, link_mbps: float) -> float:
+    """Return what an instance can carry as an owner, in cores."""
+    return min(cores, link_mbps / LINK_MBPS_PER_CORE)
+
+
 def candidates(peers: Iterable[Peer], groups: int) -> list[Peer]:
     """Return the peers that can own something, the same on every instance.
 
@@ -57,14 +69,20 @@
     return chosen
 
 
-def ranked(resource: str, names: Iterable[str], reach: Mapping[str, Reach]) -> list[str]:
-    """Return the names that can own a resource, the owner first."""
+def ranked(resource: str, peers: Sequence[Peer], reach: Mapping[str, Reach]) -> list[str]:
+    """Return the names that can own a resource, the owner first.
+
+    Slow instances own something only while no fast one can, since all statements of a
+    group pass through its owner.
+    """
     able = [
-        name
-        for name in names
-        if (seen := reach.get(name)) and seen.up and seen.ready and not seen.leaving
+        peer.name
+        for peer in peers
+        if (seen := reach.get(peer.name)) and seen.up and seen.ready and not seen.leaving
     ]
-    return rendezvous.ranked(resource, able)
+    least = FAST_SHARE * max((peer.capacity for peer in peers), default=0.0)
+    slow = {peer.name for peer in peers if peer.capacity < least}
+    return sorted(rendezvous.ranked(resource, able), key=lambda name: name in slow)
 
 
 def duty_holder(reach: Mapping[str, Reach]) -> str | None:
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -42,8 +42,8 @@
 #: Time that a registered peer must be out of reach before its entry is removed, in ms.
 #: A restart takes less.
 EVICT_MS = 10_000
-#: Time after the start until an instance owns something although it has not reached all
-#: candidates, in ms. When all start at once, each would own everything otherwise.
+#: Time after the list of instances is known until an instance owns something although it has
+#: not reached all candidates, in ms. When all start at once, each would own everything otherwise.
 SETTLE_MS = 400
 #: Interval at which an instance looks whether its entry stands in the store, in ms. Others
 #: learn its address from the entry.
@@ -76,6 +76,7 @@
         self._ports = ports
         self._started_ms = clock.now_ms()
         self._settled = False
+        self._peers_known_ms = 0
         self._minority_since_ms = 0
         self.view = View(ports.schema, clock, log, self._on_view)
         self.follower = Follower(self.view, clock, log, self._near_and_all, self._reads_store)
@@ -87,7 +88,8 @@
         self.runners: dict[str, GroupRunner] = {}
         self._failovers: dict[str, Failover] = {}
         self._links: dict[str, Link] = {}
-        self._candidates: list[str] = []
+        self._candidates: list[Peer] = []
+        self._candidate_names: list[str] = []
         self._owned: set[str] = set()
         self._watchers: list[Watcher] = []
         self._store_health = StoreHealth()
@@ -282,12 +284,12 @@
 
     def _owner(self, resource: str) -> str | None:
         reach = self._reach()
-        if not ownership.has_majority(self._candidates, reach):
+        if not ownership.has_majority(self._candidate_names, reach):
             return None
         return next(iter(ownership.ranked(resource, self._candidates, reach)), None)
 
     def _has_majority(self) -> bool:
-        return ownership.has_majority(self._candidates, self._reach())
+        return ownership.has_majority(self._candidate_names, self._reach())
 
     def _on_view(self, table: str) -> None:
         if table == PEER_TABLE:
@@ -315,7 +317,8 @@
     def _update_links(self) -> None:
         peers = {**self.view.peers, self.peer.name: self.peer}
         chosen = ownership.candidates(peers.values(), len(self.runners))
-        self._candidates = [each.name for each in chosen]
+        self._candidates = chosen
+        self._candidate_names = [each.name for each in chosen]
         for peer in chosen:
             known = self._links.get(peer.name)
             if peer.name == self.peer.name:
@@ -328,7 +331,7 @@
             self._links[peer.name] = Link(
                 peer, self._hello, self.clock, self.condition, self._on_peer
             )
-        for name in self._links.keys() - set(self._candidates):
+        for name in self._links.keys() - set(self._candidate_names):
             self._links.pop(name).stop()
             self._down_since_ms.pop(name, None)
 
@@ -386,9 +389,11 @@
         if self.peer.name not in self.view.peers:
             # Without the list of instances, each would take itself for the only one.
             return
-        others = [link for name, link in self._links.items() if name in self._candidates]
+        now_ms = self.clock.now_ms()
+        self._peers_known_ms = self._peers_known_ms or now_ms
+        others = [link for name, link in self._links.items() if name in self._candidate_names]
         reached = bool(others) and all(link.up for link in others)
-        if reached or self.clock.now_ms() - self._started_ms >= SETTLE_MS:
+        if reached or now_ms - self._peers_known_ms >= SETTLE_MS:
             self._settled = True
             links.tell(self.inbound, self.condition())
 
@@ -458,7 +463,7 @@
         Every call to the store is priced and its rate is shared by all, so that only
         candidates read it, and whoever reaches none of them.
         """
-        return self.peer.name in self._candidates or not any(
+        return self.peer.name in self._candidate_names or not any(
             link.up for link in self._links.values()
         )
 
--- a/godwitthread/platform/program.py
+++ b/godwitthread/platform/program.py
@@ -12,6 +12,7 @@
 
 from godwitthread import loop
 from godwitthread.clock import Clock
+from godwitthread.core import ownership
 from godwitthread.core.catalog import Peer
 from godwitthread.errors import ProxyError
 from godwitthread.events import EventLog, HybridClock
@@ -72,7 +73,7 @@
             settings.name,
             settings.peer_address,
             settings.failure_domain,
-            settings.capacity,
+            ownership.capacity(settings.cores, settings.link_mbps),
             self._clock.wall_ms(),
         )
         ports = Ports(
--- a/godwitthread/platform/settings.py
+++ b/godwitthread/platform/settings.py
@@ -31,8 +31,10 @@
     store_address: Address
     #: Address that takes promotion calls.
     duty_address: Address
-    #: Share of a core, times its speed; weighs instances as owners of groups.
-    capacity: float
+    #: Share of a core, times its speed.
+    cores: float
+    #: Speed of the link in Mbit/s.
+    link_mbps: float
     #: Time from SIGTERM to SIGKILL in ms.
     grace_ms: int
 
@@ -74,7 +76,8 @@
         metrics_address=Address(host, take('InternalPortRange.1', int)),
         store_address=take('platform.Addr', parse_address),
         duty_address=take('Cloud.Addr', parse_address),
-        capacity=take('Limits', lambda value: float(value['CpuShare']) * float(value['Cores'])),
+        cores=take('Limits', lambda value: float(value['CpuShare']) * float(value['Cores'])),
+        link_mbps=take('Limits.LinkMbps', float),
         grace_ms=take('Bounds.GraceS', lambda value: int(float(value) * 1000)),
     )
     if mistakes:
--- a/godwitthread/platform/store.py
+++ b/godwitthread/platform/store.py
@@ -21,8 +21,12 @@
 if TYPE_CHECKING:
     from godwitthread.address import Address
 
-#: Limit of a call to the store, in ms. The store answers in 4 ms and may be 60 times slower.
+#: Limit of a call to the store that changes something, in ms, and of the time beyond the wait
+#: for a change.
 CALL_TIMEOUT_MS = 2_000
+#: Limit of a read, in ms. The store answers in 4 ms and may be 100 times slower; a longer wait
+#: at a silent store would miss its return.
+READ_TIMEOUT_MS = 800
 #: Limit for opening a connection, in ms. The system repeats a lost first packet after 1 s at
 #: the earliest; a new attempt finds a store that is back sooner.
 CONNECT_TIMEOUT_MS = 500
@@ -45,7 +49,8 @@
             query = {'Table': table, 'part': '', 'PageSize': PAGE_ROWS}
             if start:
                 query['From'] = start
-            answer = self._call('GET', f'/v1/rows-get?{urlencode(query)}')
+            path = f'/v1/rows-get?{urlencode(query)}'
+            answer = self._call('GET', path, timeout_ms=READ_TIMEOUT_MS)
             page = [_row(each) for each in answer['rows']]
             rows += page
             if not answer.get('HasMore') or not page:
--- a/tests/test_gateway/test_ownership.py
+++ b/tests/test_gateway/test_ownership.py
@@ -8,6 +8,7 @@
     LEAST_CANDIDATES,
     Reach,
     candidates,
+    capacity,
     duty_holder,
     has_majority,
     ranked,
@@ -36,15 +37,35 @@
 
 def test_the_owner_is_the_same_on_instances_with_the_same_reach():
     """Guard against two owners of one group on a calm day."""
-    names = [f'gw-{number}' for number in range(9)]
-    reach = dict.fromkeys(names, UP)
-    assert ranked('group/a', names, reach) == ranked('group/a', names[::-1], reach)
+    peers = [peer(number) for number in range(9)]
+    reach = {each.name: UP for each in peers}
+    assert ranked('group/a', peers, reach) == ranked('group/a', peers[::-1], reach)
 
 
 def test_instances_that_leave_or_are_not_ready_own_nothing():
     """Guard against statements for an instance that is about to stop."""
     reach = {'a': Reach(True, leaving=True), 'b': Reach(True, ready=False), 'c': UP, 'd': DOWN}
-    assert ranked('group/a', reach, reach) == ['c']
+    peers = [peer(0)._replace(name=name) for name in reach]
+    assert ranked('group/a', peers, reach) == ['c']
+
+
+def test_a_slow_instance_owns_something_only_without_a_fast_one():
+    """Guard against a group that is as slow as the smallest candidate.
+
+    Found on fjordkjol-ruter-grown: a link of 10 Mbit/s carried a group from the start.
+    """
+    peers = [peer(number, capacity=2.0 if number < 6 else 0.2) for number in range(9)]
+    reach = {each.name: UP for each in peers}
+    for number in range(50):
+        order = ranked(f'group/{number}', peers, reach)
+        assert {int(name.removeprefix('gw-')) for name in order[:6]} == set(range(6))
+    slow = {name: UP if int(name.removeprefix('gw-')) > 5 else DOWN for name in reach}
+    assert ranked('group/0', peers, slow)
+
+
+def test_the_slower_of_processor_and_link_decides():
+    """Guard against a fast processor behind a slow link as an owner."""
+    assert capacity(2.15, 10.0) < capacity(0.5, 100.0)
 
 
 def test_a_minority_owns_nothing():
--- a/tests/test_platform/test_settings.py
+++ b/tests/test_platform/test_settings.py
@@ -12,7 +12,7 @@
 NODE = {
     'Node': 'front-1', 'Zone': 'z1', 'Ip': '10.1.0.26',
     'Listen': {'Front': '10.1.0.26:8465', 'Ready': '10.1.0.26:8460'},
-    'InternalPortRange': [7560, 7575], 'Limits': {'CpuShare': 0.5, 'Cores': 2},
+    'InternalPortRange': [7560, 7575], 'Limits': {'CpuShare': 0.5, 'Cores': 2, 'LinkMbps': 10.0},
     'Bounds': {'GraceS': 6}, 'platform': {'Addr': '10.200.1.7:8466'},
     'Cloud': {'Addr': '10.200.0.2:8466'}, 'Unheard': {'of': 1},
 }  # fmt: skip
@@ -26,7 +26,7 @@
     assert loaded.caller_address == Address('10.1.0.26', 8465)
     assert loaded.peer_address == Address('10.1.0.26', 7560)
     assert loaded.metrics_address == Address('10.1.0.26', 7575)
-    assert (loaded.capacity, loaded.grace_ms) == (1.0, 6_000)
+    assert (loaded.cores, loaded.link_mbps, loaded.grace_ms) == (1.0, 10.0, 6_000)
 
 
 def test_all_mistakes_are_reported_at_once():
--- a/tests/test_platform/world.py
+++ b/tests/test_platform/world.py
@@ -246,7 +246,7 @@
             'Ip': host,
             'Listen': {'Front': f'{host}:8465', 'Ready': f'{host}:8460'},
             'InternalPortRange': [7560, 7575],
-            'Limits': {'CpuShare': 0.5, 'Cores': 2},
+            'Limits': {'CpuShare': 0.5, 'Cores': 2, 'LinkMbps': 1000.0},
             'Bounds': {'GraceS': 6},
             'platform': {'Addr': str(self.store_proxies[number].address)},
             'Cloud': {'Addr': str(self._address(0, 2, 8466))},
