Let a group of the soak be synchronous

Cause: the pause of replicas before a promotion had tests with fakes only. Change: the stand-in for members knows commits that wait for a replica, PAUSE and RESUME; every second group of the soak is such a group, and none of its acknowledged commits may be lost to a promotion.

--- a/godwitthread/standin/line_member.py
+++ b/godwitthread/standin/line_member.py
@@ -27,6 +27,10 @@
     from godwitthread.core.statements import Statement
 
 
+#: Interval at which a commit without a receiver is sent again, in s.
+WAIT_S = 0.02
+
+
 class Commit(NamedTuple):
     """Entry of the log."""
 
@@ -54,6 +58,8 @@
         self.lost_share = 0.0
         self.lag_s = 0.02
         self.connections = 0
+        #: Term for which the member stopped receiving; it receives up to its group's term.
+        self.held_term = 0
         self._sockets: set[socket.socket] = set()
         self._slots = eventlet.semaphore.Semaphore(group.slots)
         self._listener: socket.socket | None = None
@@ -63,9 +69,14 @@
         """Tell whether the member leads."""
         return self.group.primary is self
 
+    @property
+    def receives(self) -> bool:
+        """Tell whether commits reach the member."""
+        return self.condition == 'up' and self.held_term <= self.group.term
+
     def start(self) -> None:
         """Listen for connections."""
-        self.condition = 'up'
+        self.condition, self.held_term = 'up', 0
         listener = self._listener = listen(self.address)
 
         def accept() -> None:
@@ -136,6 +147,8 @@
         self.members: dict[str, LineMember] = {}
         self.primary: LineMember | None = None
         self.term = 1
+        #: Whether a commit is acknowledged only once a replica has received it.
+        self.synchronous = False
         #: Commits that a promotion rolled back.
         self.rolled_back: list[Commit] = []
         #: Members' connections by statement: member, organisation, statement id, text.
@@ -153,18 +166,29 @@
         return member
 
     def commit(self, writes: tuple[tuple[str, str, str], ...]) -> Position:
-        """Append a commit at the primary and send it to the replicas."""
+        """Append a commit at the primary and send it to the replicas.
+
+        Raise ConnectionResetError where it was not received before the primary lost the lead.
+        """
         primary = self.primary
         assert primary is not None
         position = Position(self.term, primary.received().offset + 1)
         entry = Commit(position, writes, self.now_ms())
         primary.log.append(entry)
         primary.applied = len(primary.log)
-        for member in self.members.values():
-            if member is not primary and member.condition == 'up':
+        while not self._send(primary, position) and self.synchronous:
+            eventlet.sleep(WAIT_S)
+            if self.primary is not primary:
+                raise ConnectionResetError
+        return position
+
+    def _send(self, primary: LineMember, position: Position) -> bool:
+        receivers = [each for each in self.members.values() if each.receives]
+        for member in receivers:
+            if member is not primary:
                 member.log = [*primary.log]
                 eventlet.spawn_after(member.lag_s, self._apply, member, position)
-        return position
+        return len(receivers) > 1
 
     def promote(self, name: str) -> bool:
         """Order a member to lead the next term; return whether it runs."""
@@ -180,6 +204,7 @@
             return
         before, self.primary = self.primary, member
         self.term += 1
+        member.held_term = 0
         kept = len(member.log)
         if before is not None:
             self.rolled_back += [entry for entry in before.log if entry not in member.log]
@@ -188,11 +213,17 @@
         member.applied = len(member.log)
         for other in self.members.values():
             if other is not member:
-                other.log = [*member.log]
-                other.applied = min(other.applied, len(other.log))
-                eventlet.spawn_after(other.lag_s, self._apply, other, member.received())
+                self.follow(other)
             self.on_change(other)
 
+    def follow(self, member: LineMember) -> None:
+        """Let a replica take over the log of the primary."""
+        primary = self.primary
+        assert primary is not None
+        member.log = [*primary.log]
+        member.applied = min(member.applied, len(member.log))
+        eventlet.spawn_after(member.lag_s, self._apply, member, primary.received())
+
     def _apply(self, member: LineMember, position: Position) -> None:
         while member.applied < len(member.log):
             if member.log[member.applied].position > position:
@@ -252,10 +283,17 @@
             held = [entry.position for entry in member.log[: member.applied]]
             if position is None or (position not in held and position.offset):
                 return [f'ERR LAGGING {member.name}']
-        if text == 'STATUS':
-            role = 'primary' if member.primary else 'replica'
-            row = f'ROW {role} {group.term} {format_position(member.received())} 0 0 0 1'
-            return [row, 'DONE -']
+        if text.startswith('PAUSE '):
+            term = int(text.partition(' ')[2])
+            if member.primary or term <= max(group.term, member.held_term):
+                return ['ERR MALFORMED not a term to pause for']
+            member.held_term = term
+        if text == 'RESUME':
+            member.held_term = 0
+            if not member.primary:
+                group.follow(member)
+        if text == 'STATUS' or text == 'RESUME' or text.startswith('PAUSE '):
+            return [self._status(), 'DONE -']
         if text == 'RESET':
             self._prepared.clear()
             return ['DONE -']
@@ -264,6 +302,12 @@
             return ['ERR MALFORMED not understood']
         return self._run(statement)
 
+    def _status(self) -> str:
+        member = self._member
+        role = 'primary' if member.primary else 'replica'
+        received = format_position(member.received())
+        return f'ROW {role} {self._group.term} {received} {member.held_term} 0 0 1'
+
     def _run(self, statement: Statement) -> list[str]:
         member = self._member
         verb = statement.verb
--- a/tests/test_platform/world.py
+++ b/tests/test_platform/world.py
@@ -191,7 +191,10 @@
             {
                 'Version': self.version,
                 'Routes': routes,
-                'Services': [{'Name': each.name, 'MaxConns': 16} for each in self.groups],
+                'Services': [
+                    {'Name': each.name, 'MaxConns': 16, 'SyncReplicas': int(each.synchronous)}
+                    for each in self.groups
+                ],
                 'Limits': {'TxIdleMs': 3_000},
                 'Tenants': [
                     {'Name': name, 'ApiKeys': keys, 'RatePerS': rates[name], 'Burst': rates[name]}
@@ -221,6 +224,7 @@
     def _group(self, number: int, seed: int) -> LineGroup:
         self.proxies: dict[str, Proxy] = getattr(self, 'proxies', {})
         group = LineGroup(f'g{number}', now_ms, seed + number)
+        group.synchronous = number % 2 == 1
         for index, domain in enumerate(DOMAINS):
             address = self._address(1, 10 * number + index + 1, 9000)
             member = group.add(f'i-{number}{index}', address, domain)
@@ -344,7 +348,9 @@
             ids = [statement_id for _, _, statement_id in kept]
             for statement_id in {each for each in ids if ids.count(each) > 1}:
                 self.violations.append(f'doubled: {statement_id}')
+            # A promotion may cut back only what no replica had to receive.
             lost = {w[2] for entry in group.rolled_back for w in entry.writes}
+            lost = set() if group.synchronous else lost
             number = int(group.name[1:])
             for statement_id, outcome in self.writes.items():
                 caller = int(statement_id[1:].partition('.')[0])
