--- a/godwitthread/platform/callers.py
+++ b/godwitthread/platform/callers.py
@@ -8,7 +8,14 @@
 
 from godwitthread.core.statements import TxState
 from godwitthread.errors import ErrorKind
-from godwitthread.platform.lines import LineReader, LineTooLongError, encode, parse_query, ready
+from godwitthread.platform.lines import (
+    MAX_LINE_BYTES,
+    LineReader,
+    LineTooLongError,
+    encode,
+    parse_query,
+    ready,
+)
 from godwitthread.sockets import sever
 
 if TYPE_CHECKING:
@@ -21,6 +28,9 @@
 
 #: Limit for the first line of a connection, in s.
 START_TIMEOUT_S = 10
+#: Longest first line in bytes: names and a key. Thousands of callers without a key could
+#: fill the memory with lines of the usual limit.
+START_LINE_BYTES = 4_096
 
 #: Wire code of every error kind. BUSY, ABORTED, LAGGING, READONLY and TOOMANY promise
 #: that nothing of the attempt is kept, so only kinds with the outcome `not_run` have them.
@@ -49,7 +59,7 @@
 def serve(sock: socket.socket, sessions: Sessions) -> None:
     """Serve one connection until it ends."""
     session = None
-    reader = LineReader(sock)
+    reader = LineReader(sock, START_LINE_BYTES)
     try:
         sock.settimeout(START_TIMEOUT_S)
         word, _, rest = (reader.read() or '').partition(' ')
@@ -61,6 +71,7 @@
             sock.sendall(encode(_error(refusal)))
             return
         assert session is not None
+        reader.limit = MAX_LINE_BYTES
         sock.sendall(encode(ready(TxState.IDLE)))
         sock.settimeout(None)
         session.attach(partial(sever, sock))
@@ -78,7 +89,9 @@
 def _serve_queries(sock: socket.socket, reader: LineReader, session: Session) -> None:
     while not session.ending:
         line = reader.read()
-        word, _, rest = (line or 'BYE').partition(' ')
+        if line is None:
+            return
+        word, _, rest = line.partition(' ')
         if word == 'BYE':
             return
         statement = parse_query(rest) if word == 'QUERY' else None
--- a/godwitthread/platform/lines.py
+++ b/godwitthread/platform/lines.py
@@ -28,7 +28,9 @@
 class LineReader:
     """Split what a socket receives into lines."""
 
-    def __init__(self, sock: Any) -> None:
+    def __init__(self, sock: Any, limit: int = MAX_LINE_BYTES) -> None:
+        #: Longest line in bytes.
+        self.limit = limit
         self._sock = sock
         self._rest = b''
         self._lines: Iterator[bytes] = iter(())
@@ -44,7 +46,7 @@
                 return None
             *lines, self._rest = (self._rest + data).split(b'\n')
             self._lines = iter(lines)
-            if len(self._rest) > MAX_LINE_BYTES:
+            if len(self._rest) > self.limit:
                 raise LineTooLongError
 
 
