Keep house for owned groups only

Cause: each instance looked at every group every 50 ms and ranked all candidates for each, which CAPACITY worked out as 28 ms/s at 870 groups, over the 10 ms/s of the target.

--- a/godwitthread/core/ownership.py
+++ b/godwitthread/core/ownership.py
@@ -75,14 +75,19 @@
     Slow instances own something only while no fast one can, since all statements of a
     group pass through its owner.
     """
-    able = [
-        peer.name
-        for peer in peers
-        if (seen := reach.get(peer.name)) and seen.up and seen.ready and not seen.leaving
-    ]
+    names = able([peer.name for peer in peers], reach)
     least = FAST_SHARE * max((peer.capacity for peer in peers), default=0.0)
     slow = {peer.name for peer in peers if peer.capacity < least}
-    return sorted(rendezvous.ranked(resource, able), key=lambda name: name in slow)
+    return sorted(rendezvous.ranked(resource, names), key=lambda name: name in slow)
+
+
+def able(names: Iterable[str], reach: Mapping[str, Reach]) -> list[str]:
+    """Return the names of the instances that can own something now."""
+    return [
+        name
+        for name in names
+        if (seen := reach.get(name)) and seen.up and seen.ready and not seen.leaving
+    ]
 
 
 def duty_holder(reach: Mapping[str, Reach]) -> str | None:
--- /dev/null
+++ b/godwitthread/gateway/holdings.py
@@ -0,0 +1,134 @@
+"""Groups and rates that this instance owns, and the housekeeping for them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from godwitthread.core import ownership
+from godwitthread.gateway.failover import Failover
+from godwitthread.gateway.groups import GroupRunner
+from godwitthread.loop import eventlet
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from godwitthread.core.catalog import Peer
+    from godwitthread.core.ownership import Reach
+    from godwitthread.gateway.limits import Limits
+    from godwitthread.gateway.logs import Log
+
+
+class HeldGroup(NamedTuple):
+    """Group with what runs its statements and replaces its primary."""
+
+    runner: GroupRunner
+    failover: Failover
+
+
+class Situation(NamedTuple):
+    """All that decides who owns what, as one instance sees it."""
+
+    majority: bool
+    able: tuple[str, ...]
+
+
+class Holdings:
+    """Name the owner of each group and rate, and begin and end what this instance owns."""
+
+    def __init__(
+        self, name: str, reach: Callable[[], dict[str, Reach]], limits: Limits, log: Log
+    ) -> None:
+        #: Instances that can own something.
+        self.candidates: list[Peer] = []
+        #: Groups that this instance owns.
+        self.owned: set[str] = set()
+        self._name = name
+        self._reach = reach
+        self._limits = limits
+        self._log = log
+        self._groups: dict[str, HeldGroup] = {}
+        #: Groups that were owned, with statements still at work.
+        self._lingering: set[str] = set()
+        self._situation: Situation | None = None
+
+    def add(self, name: str, group: HeldGroup) -> None:
+        """Take in a group."""
+        self._groups[name] = group
+        self._situation = None
+
+    def remove(self, name: str) -> None:
+        """Drop a group that left the configuration."""
+        self._groups.pop(name).runner.rest()
+        self.owned.discard(name)
+        self._lingering.discard(name)
+
+    def choose_candidates(self, peers: list[Peer]) -> list[Peer]:
+        """Choose the instances that can own something, and return them."""
+        chosen = ownership.candidates(peers, len(self._groups))
+        if chosen != self.candidates:
+            self.candidates, self._situation = chosen, None
+        return chosen
+
+    def is_candidate(self, name: str) -> bool:
+        """Tell whether an instance can own something."""
+        return any(peer.name == name for peer in self.candidates)
+
+    def owner(self, resource: str) -> str | None:
+        """Return the owner of a resource, None without a majority or an able candidate."""
+        reach = self._reach()
+        if not ownership.has_majority([peer.name for peer in self.candidates], reach):
+            return None
+        return next(iter(ownership.ranked(resource, self.candidates, reach)), None)
+
+    def has_majority(self) -> bool:
+        """Tell whether this instance reaches most candidates that may be running."""
+        return ownership.has_majority([peer.name for peer in self.candidates], self._reach())
+
+    def settle(self) -> None:
+        """Begin or end the ownership of groups and rates after a change of the situation."""
+        reach = self._reach()
+        names = [peer.name for peer in self.candidates]
+        able = tuple(ownership.able(names, reach))
+        situation = Situation(ownership.has_majority(names, reach), able)
+        if situation == self._situation:
+            return
+        self._situation = situation
+        for name, group in self._groups.items():
+            owned = self.owner(f'group/{name}') == self._name
+            if owned and name not in self.owned:
+                self._begin(name, group)
+            elif not owned and name in self.owned:
+                self._end(name, group)
+        for organisation in self._limits.granted():
+            if self.owner(f'rate/{organisation}') != self._name:
+                self._limits.forget_granter(organisation)
+
+    def tick(self) -> None:
+        """Keep house for what is owned, or still at work; other groups cost nothing."""
+        for name in self.owned:
+            group = self._groups[name]
+            eventlet.spawn_n(group.runner.tick, True)
+            group.failover.tick()
+        for name in list(self._lingering):
+            runner = self._groups[name].runner
+            eventlet.spawn_n(runner.tick, False)
+            if not runner.working():
+                self._lingering.discard(name)
+
+    def note_work(self, name: str) -> None:
+        """Watch a group that gets work before its ownership was noted."""
+        if name not in self.owned:
+            self._lingering.add(name)
+
+    def _begin(self, name: str, group: HeldGroup) -> None:
+        self.owned.add(name)
+        self._lingering.discard(name)
+        self._log.event('group_owned', group=name)
+        group.runner.resume()
+        group.failover.begin()
+
+    def _end(self, name: str, group: HeldGroup) -> None:
+        self.owned.discard(name)
+        self._lingering.add(name)
+        self._log.event('group_left', group=name)
+        group.runner.rest()
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -18,6 +18,7 @@
 from godwitthread.gateway.failover import Failover
 from godwitthread.gateway.following import Follower, ViewRequest
 from godwitthread.gateway.groups import TICK_MS, GroupRunner
+from godwitthread.gateway.holdings import HeldGroup, Holdings
 from godwitthread.gateway.limits import GrantRequest, Limits
 from godwitthread.gateway.links import Condition, Hello, Link
 from godwitthread.gateway.sessions import ANONYMOUS, Sessions
@@ -86,11 +87,8 @@
         self.limits = Limits(clock, self._organisation, self._ask_grant, log)
         self.duty = Duty(peer.name, peer.incarnation, ports, log)
         self.runners: dict[str, GroupRunner] = {}
-        self._failovers: dict[str, Failover] = {}
         self._links: dict[str, Link] = {}
-        self._candidates: list[Peer] = []
-        self._candidate_names: list[str] = []
-        self._owned: set[str] = set()
+        self.holdings = Holdings(peer.name, self._reach, self.limits, log)
         self._watchers: list[Watcher] = []
         self._store_health = StoreHealth()
         self._organisations: dict[str, Organisation] = {}
@@ -126,7 +124,7 @@
         """Stop owning groups and taking sessions."""
         self.leaving = True
         links.tell(self.inbound, self.condition())
-        self._settle_ownership()
+        self.holdings.settle()
 
     def ready(self) -> bool:
         """Tell whether callers are served here."""
@@ -134,7 +132,7 @@
             not self.leaving
             and self.view.configuration is not None
             and self._settled
-            and self._has_majority()
+            and self.holdings.has_majority()
         )
 
     def condition(self) -> Condition:
@@ -143,7 +141,7 @@
 
     def owned_groups(self) -> int:
         """Return the number of groups that this instance owns."""
-        return len(self._owned)
+        return len(self.holdings.owned)
 
     def connections(self) -> int:
         """Return the number of open connections to members."""
@@ -166,7 +164,7 @@
                 remaining_ms=req.remaining_ms - (now_ms - started_ms),
                 objective_ms=max(0, req.objective_ms - (now_ms - started_ms)),
             )
-            owner = self._owner(f'group/{req.group}')
+            owner = self.holdings.owner(f'group/{req.group}')
             ownerless_ms = self._ownerless_ms(req.group, owner, now_ms)
             wait_ms = waiting.owner_wait_ms(req.remaining_ms, req.objective_ms, ownerless_ms)
             try:
@@ -225,8 +223,9 @@
         runner = self.runners.get(req.group)
         if runner is None:
             raise ProxyError(ErrorKind.BACKEND_UNAVAILABLE, 'the group is not known here')
-        if req.first and self._owner(f'group/{req.group}') != self.peer.name:
+        if req.first and self.holdings.owner(f'group/{req.group}') != self.peer.name:
             raise ProxyError(ErrorKind.MOVED, 'another instance owns the group')
+        self.holdings.note_work(req.group)
         return runner.run(sender, req)
 
     # Calls of peers
@@ -250,12 +249,12 @@
             runner.end_sender(sender)
 
     def _grant(self, request: GrantRequest) -> Grant:
-        if self._owner(f'rate/{request.organisation}') != self.peer.name:
+        if self.holdings.owner(f'rate/{request.organisation}') != self.peer.name:
             raise ProxyError(ErrorKind.MOVED, 'another instance grants the rate')
         return self.limits.grant(request)
 
     def _ask_grant(self, request: GrantRequest, timeout_ms: int) -> Grant:
-        granter = self._owner(f'rate/{request.organisation}')
+        granter = self.holdings.owner(f'rate/{request.organisation}')
         if granter is None:
             raise ProxyError(ErrorKind.BACKEND_UNAVAILABLE, 'no instance grants the rate')
         if granter == self.peer.name:
@@ -282,15 +281,6 @@
         reach[self.peer.name] = Reach(True, leaving=self.leaving, ready=self._settled)
         return reach
 
-    def _owner(self, resource: str) -> str | None:
-        reach = self._reach()
-        if not ownership.has_majority(self._candidate_names, reach):
-            return None
-        return next(iter(ownership.ranked(resource, self._candidates, reach)), None)
-
-    def _has_majority(self) -> bool:
-        return ownership.has_majority(self._candidate_names, self._reach())
-
     def _on_view(self, table: str) -> None:
         if table == PEER_TABLE:
             self._update_links()
@@ -306,19 +296,18 @@
             if runner is None:
                 runner = GroupRunner(name, self.clock, self._ports, self.log, self._admit)
                 self.runners[name] = runner
-                self._failovers[name] = Failover(runner, self.clock, self.log, self._order)
+                failover = Failover(runner, self.clock, self.log, self._order)
+                self.holdings.add(name, HeldGroup(runner, failover))
             members = {each.id: each for each in self.view.members.values() if each.group == name}
             runner.update(group, members, self.view.evacuated, cfg.tx_idle_ms)
         for name in self.runners.keys() - cfg.groups.keys():
-            self.runners.pop(name).rest()
-            del self._failovers[name]
+            del self.runners[name]
+            self.holdings.remove(name)
         self._update_links()
 
     def _update_links(self) -> None:
         peers = {**self.view.peers, self.peer.name: self.peer}
-        chosen = ownership.candidates(peers.values(), len(self.runners))
-        self._candidates = chosen
-        self._candidate_names = [each.name for each in chosen]
+        chosen = self.holdings.choose_candidates(list(peers.values()))
         for peer in chosen:
             known = self._links.get(peer.name)
             if peer.name == self.peer.name:
@@ -331,7 +320,7 @@
             self._links[peer.name] = Link(
                 peer, self._hello, self.clock, self.condition, self._on_peer
             )
-        for name in self._links.keys() - set(self._candidate_names):
+        for name in self._links.keys() - {peer.name for peer in chosen}:
             self._links.pop(name).stop()
             self._down_since_ms.pop(name, None)
 
@@ -341,24 +330,7 @@
         elif name not in self._down_since_ms:
             self._down_since_ms[name] = self.clock.now_ms()
             self.log.event('peer_lost', peer=name)
-        self._settle_ownership()
-
-    def _settle_ownership(self) -> None:
-        """Begin or end the ownership of groups and rates."""
-        for name, runner in self.runners.items():
-            owned = self._owner(f'group/{name}') == self.peer.name
-            if owned and name not in self._owned:
-                self._owned.add(name)
-                self.log.event('group_owned', group=name)
-                runner.resume()
-                self._failovers[name].begin()
-            elif not owned and name in self._owned:
-                self._owned.discard(name)
-                self.log.event('group_left', group=name)
-                runner.rest()
-        for organisation in self.limits.granted():
-            if self._owner(f'rate/{organisation}') != self.peer.name:
-                self.limits.forget_granter(organisation)
+        self.holdings.settle()
 
     # Background work
 
@@ -374,12 +346,8 @@
         self.view.forget_missing()
         self._settle()
         self._send_callers_away()
-        self._settle_ownership()
-        for name, runner in self.runners.items():
-            owned = name in self._owned
-            eventlet.spawn_n(runner.tick, owned)
-            if owned:
-                self._failovers[name].tick()
+        self.holdings.settle()
+        self.holdings.tick()
         self._evict()
 
     def _settle(self) -> None:
@@ -391,8 +359,7 @@
             return
         now_ms = self.clock.now_ms()
         self._peers_known_ms = self._peers_known_ms or now_ms
-        others = [link for name, link in self._links.items() if name in self._candidate_names]
-        reached = bool(others) and all(link.up for link in others)
+        reached = bool(self._links) and all(link.up for link in self._links.values())
         if reached or now_ms - self._peers_known_ms >= SETTLE_MS:
             self._settled = True
             links.tell(self.inbound, self.condition())
@@ -400,7 +367,7 @@
     def _send_callers_away(self) -> None:
         """End idle sessions while other instances can't be reached."""
         now_ms = self.clock.now_ms()
-        if self.leaving or self._has_majority():
+        if self.leaving or self.holdings.has_majority():
             self._minority_since_ms = 0
             self.sessions.ending = self.leaving
             return
@@ -424,7 +391,7 @@
             self._store_health.wait(wait_ms, self._store_health.returns)
 
     def _first_candidate(self) -> bool:
-        return self._owner('duty') == self.peer.name
+        return self.holdings.owner('duty') == self.peer.name
 
     def _take_vacant_duty(self) -> None:
         """Take the duty ahead of need, so that tokens are at hand when the store is away."""
@@ -442,7 +409,7 @@
     def _evict(self) -> None:
         now_ms = self.clock.now_ms()
         for name, since_ms in list(self._down_since_ms.items()):
-            if now_ms - since_ms < EVICT_MS or self._owner('evict') != self.peer.name:
+            if now_ms - since_ms < EVICT_MS or self.holdings.owner('evict') != self.peer.name:
                 continue
             self._down_since_ms[name] = now_ms
             revision = self.view.row_revision(PEER_TABLE, name)
@@ -463,7 +430,7 @@
         Every call to the store is priced and its rate is shared by all, so that only
         candidates read it, and whoever reaches none of them.
         """
-        return self.peer.name in self._candidate_names or not any(
+        return self.holdings.is_candidate(self.peer.name) or not any(
             link.up for link in self._links.values()
         )
 
--- /dev/null
+++ b/tests/test_gateway/test_holdings.py
@@ -0,0 +1,131 @@
+"""Ownership of groups as one instance begins, keeps and ends it."""
+
+from __future__ import annotations
+
+import eventlet
+import pytest
+
+from godwitthread.address import Address
+from godwitthread.clock import Clock
+from godwitthread.core.catalog import Peer
+from godwitthread.core.ownership import Reach
+from godwitthread.gateway.holdings import HeldGroup, Holdings
+from tests.test_gateway.fakes import quiet_log
+
+
+class FakeRunner:
+    """Count what is asked of the runner of a group."""
+
+    def __init__(self) -> None:
+        self.calls: list[str] = []
+        self.busy = False
+
+    def tick(self, owned):
+        self.calls.append(f'tick {owned}')
+
+    def rest(self):
+        self.calls.append('rest')
+
+    def resume(self):
+        self.calls.append('resume')
+
+    def working(self):
+        return self.busy
+
+
+class FakeFailover:
+    """Count looks at the primary of a group."""
+
+    def __init__(self) -> None:
+        self.ticks = 0
+
+    def begin(self):
+        self.ticks = 0
+
+    def tick(self):
+        self.ticks += 1
+
+
+class FakeLimits:
+    """Grant nothing."""
+
+    def granted(self):
+        return []
+
+
+@pytest.fixture
+def world():
+    """Build three candidates and 60 groups, with the reach that a test may change."""
+    reach = {f'gw-{number}': Reach(True) for number in range(3)}
+    made = Holdings('gw-0', lambda: reach, FakeLimits(), quiet_log(Clock()))
+    groups = {f'g{number}': HeldGroup(FakeRunner(), FakeFailover()) for number in range(60)}
+    for name, group in groups.items():
+        made.add(name, group)
+    peers = [Peer(name, Address('10.0.0.1', 1), 'd', 1.0, 1) for name in reach]
+    made.choose_candidates(peers)
+    made.settle()
+    return made, groups, reach
+
+
+def test_groups_of_others_cost_nothing(world):
+    """Guard against housekeeping that grows with all groups of a large deployment."""
+    made, groups, _ = world
+    made.tick()
+    eventlet.sleep(0)
+    assert 0 < len(made.owned) < 60
+    for name, group in groups.items():
+        expected = ['resume', 'tick True'] if name in made.owned else []
+        assert group.runner.calls == expected
+        assert group.failover.ticks == (name in made.owned)
+
+
+def test_a_group_that_was_left_is_watched_until_its_work_ends(world):
+    """Guard against transactions that stay open at a former owner."""
+    made, groups, reach = world
+    name = next(iter(made.owned))
+    runner = groups[name].runner
+    runner.busy = True
+    reach['gw-0'] = Reach(True, leaving=True)
+    made.settle()
+    assert made.owned == set()
+    made.tick()
+    eventlet.sleep(0)
+    assert runner.calls[-2:] == ['rest', 'tick False']
+    runner.busy = False
+    made.tick()
+    made.tick()
+    eventlet.sleep(0)
+    assert runner.calls.count('tick False') == 2
+
+
+def test_work_before_ownership_is_noted_is_watched(world):
+    """Guard against an idle transaction that nobody ends."""
+    made, groups, _ = world
+    name = next(name for name in groups if name not in made.owned)
+    groups[name].runner.busy = True
+    made.note_work(name)
+    made.tick()
+    eventlet.sleep(0)
+    assert groups[name].runner.calls == ['tick False']
+
+
+def test_a_group_that_comes_later_finds_its_owner(world):
+    """Guard against a new group that waits for an unrelated change to be owned."""
+    made, groups, _ = world
+    for number in range(60, 80):
+        groups[f'g{number}'] = HeldGroup(FakeRunner(), FakeFailover())
+        made.add(f'g{number}', groups[f'g{number}'])
+    made.settle()
+    owned = {name for name in groups if made.owner(f'group/{name}') == 'gw-0'}
+    assert made.owned == owned
+
+
+def test_a_minority_owns_nothing(world):
+    """Guard against two owners of a group on two sides of a partition."""
+    made, _, reach = world
+    reach['gw-1'] = reach['gw-2'] = Reach(False)
+    made.settle()
+    assert made.owned == set()
+    assert made.owner('group/g1') is None
+    made.remove('g1')
+    made.tick()
