End the processes of a soak that is stopped

Cause: SIGTERM ended the run and left its gateways behind. Change: the run leaves through its own clean-up. Measured: no gateway is left 2 s after SIGTERM at 5 s.

--- a/tests/test_platform/world.py
+++ b/tests/test_platform/world.py
@@ -15,12 +15,13 @@
 import json  # noqa: E402
 import os  # noqa: E402
 import random  # noqa: E402
+import signal  # noqa: E402
 import subprocess  # noqa: E402
 import sys  # noqa: E402
 import tempfile  # noqa: E402
 import time  # noqa: E402
 from pathlib import Path  # noqa: E402
-from typing import TYPE_CHECKING, Any, NamedTuple  # noqa: E402
+from typing import Any, NamedTuple  # noqa: E402
 
 from godwitthread.address import Address  # noqa: E402
 from godwitthread.loop import eventlet  # noqa: E402
@@ -29,9 +30,6 @@
 from godwitthread.standin.line_member import LineGroup, LineMember  # noqa: E402
 from godwitthread.standin.rows import PromotionDesk, RowStore, serve  # noqa: E402
 
-if TYPE_CHECKING:
-    import signal
-
 ROOT = Path(__file__).parents[2]
 DOMAINS = ('d1', 'd2', 'd3')
 #: Codes that promise that nothing of the attempt is kept.
@@ -474,6 +472,8 @@
     parser.add_argument('--groups', type=int, default=2)
     parser.add_argument('--callers', type=int, default=16)
     args = parser.parse_args()
+    # The processes that a run started end with it.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     seeds = range(args.seed, args.seed + args.seeds)
     return max(run(seed, args.seconds, args.instances, args.groups, args.callers) for seed in seeds)
 
