Replace no healthy primary for an order without an answer, and read a very slow store

Cause, found by reading the change: an order whose outcome stayed open led to another promotion also in groups whose replicas are not paused, although their primary answered again; and a read limit of 0.8 s keeps an instance from starting while the store is over 200 times slower than usual. Change: an open order is repeated only where replicas stay paused for it; the limit of a read takes turns between 0.8 and 2 s while reads get no answer. Measured: a test for each that failed before.

--- a/godwitthread/gateway/failover.py
+++ b/godwitthread/gateway/failover.py
@@ -80,7 +80,8 @@
         """Look for a reason to replace the primary, and do it in a thread of its own."""
         now_ms = self._clock.now_ms()
         reason = reason_to_replace(self._signs(now_ms))
-        if reason is None and self._order_open:
+        if reason is None and self._order_open and self._runner.synchronous:
+            # Replicas stay paused until the outcome of the order is certain.
             reason = 'order_open'
         if reason == 'no_primary':
             self._unknown_since_ms = self._unknown_since_ms or now_ms
--- a/godwitthread/platform/store.py
+++ b/godwitthread/platform/store.py
@@ -27,6 +27,9 @@
 #: Limit of a read, in ms. The store answers in 4 ms and may be 100 times slower; a longer wait
 #: at a silent store would miss its return.
 READ_TIMEOUT_MS = 800
+#: Limit of the read after one without an answer, in ms, for a store that is slower still.
+#: Both limits take turns, as silence and slowness look alike.
+SLOW_READ_TIMEOUT_MS = 2_000
 #: Limit for opening a connection, in ms. The system repeats a lost first packet after 1 s at
 #: the earliest; a new attempt finds a store that is back sooner.
 CONNECT_TIMEOUT_MS = 500
@@ -40,6 +43,7 @@
     def __init__(self, address: Address) -> None:
         self._address = address
         self._conn: http.client.HTTPConnection | None = None
+        self._read_timeout_ms = READ_TIMEOUT_MS
 
     def table(self, table: str) -> StoredRows:
         """Read a whole table; raise STORE_UNAVAILABLE."""
@@ -50,7 +54,7 @@
             if start:
                 query['From'] = start
             path = f'/v1/rows-get?{urlencode(query)}'
-            answer = self._call('GET', path, timeout_ms=READ_TIMEOUT_MS)
+            answer = self._read(path)
             page = [_row(each) for each in answer['rows']]
             rows += page
             if not answer.get('HasMore') or not page:
@@ -94,6 +98,17 @@
             self._conn.close()
             self._conn = None
 
+    def _read(self, path: str) -> dict[str, Any]:
+        try:
+            return self._call('GET', path, timeout_ms=self._read_timeout_ms)
+        except ProxyError as exc:
+            if isinstance(exc.__cause__, TimeoutError) and not isinstance(
+                exc, StoreUnreachableError
+            ):
+                both = READ_TIMEOUT_MS + SLOW_READ_TIMEOUT_MS
+                self._read_timeout_ms = both - self._read_timeout_ms
+            raise
+
     def _call(
         self, method: str, path: str, body: Any = None, timeout_ms: int = CALL_TIMEOUT_MS
     ) -> dict[str, Any]:
--- a/tests/test_gateway/test_failover.py
+++ b/tests/test_gateway/test_failover.py
@@ -211,6 +211,22 @@
     assert group.paused == {}
 
 
+def test_a_primary_that_answers_again_is_not_replaced_for_an_order_without_an_answer(
+    world, monkeypatch
+):
+    """Guard against a needless change of primary in a group whose replicas are not paused."""
+    group, made, over, orders = world
+    monkeypatch.setattr(failover, 'ORDER_GAP_MS', 0)
+    made.run('a', request('READ i'))
+    made.pools['m0'].refused_since_ms = 1
+    good, over._order = over._order, lambda request: OrderAnswer(False, False, final=False)
+    settle(over)
+    made.pools['m0'].refused_since_ms = 0
+    over._order = good
+    settle(over)
+    assert orders == []
+
+
 def test_a_new_owner_lets_paused_replicas_receive(synchronous):
     """Guard against commits that wait without end for replicas whose owner is gone."""
     group, made, over, _ = synchronous
--- /dev/null
+++ b/tests/test_platform/test_store.py
@@ -0,0 +1,51 @@
+"""Client of the store, at a server that is slow or silent."""
+
+from __future__ import annotations
+
+import eventlet
+import pytest
+
+from godwitthread.address import Address
+from godwitthread.errors import ProxyError
+from godwitthread.gateway.ports import StoreUnreachableError
+from godwitthread.platform import store
+
+
+@pytest.fixture
+def server():
+    """Return the address of a server that answers each request after a delay in s."""
+    delay_s = [0.0]
+    listener = eventlet.listen(('127.0.0.1', 0))
+
+    def serve(sock, _):
+        while sock.recv(4_096):
+            eventlet.sleep(delay_s[0])
+            body = b'{"rows":[],"HasMore":false,"Revision":7}'
+            head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n'.encode()
+            sock.sendall(head + body)
+
+    thread = eventlet.spawn(eventlet.serve, listener, serve)
+    yield Address(*listener.getsockname()), delay_s
+    thread.kill()
+    listener.close()
+
+
+def test_a_store_slower_than_the_first_limit_is_read_at_last(server, monkeypatch):
+    """Guard against an instance that never starts while the store is very slow."""
+    address, delay_s = server
+    monkeypatch.setattr(store, 'READ_TIMEOUT_MS', 50)
+    monkeypatch.setattr(store, 'SLOW_READ_TIMEOUT_MS', 1_000)
+    client = store.StoreClient(address)
+    delay_s[0] = 0.2
+    with pytest.raises(ProxyError):
+        client.table('op')
+    assert client.table('op').revision == 7
+
+
+def test_a_refused_connection_is_told_apart():
+    """Guard against a priced call that is counted where nothing was called."""
+    closed = eventlet.listen(('127.0.0.1', 0))
+    address = Address(*closed.getsockname())
+    closed.close()
+    with pytest.raises(StoreUnreachableError):
+        store.StoreClient(address).table('op')
