--- a/godwitthread/demo/report.py
+++ b/godwitthread/demo/report.py
@@ -50,11 +50,16 @@
         return 'ok' if self.holds else 'MISSED'
 
 
-def lines(deployment: Deployment, samples: Sequence[Sample], marks: Marks) -> list[Line]:
-    """Return every measure and every promise with its verdict."""
+def lines(
+    deployment: Deployment, samples: Sequence[Sample], hurried: Sequence[Sample], marks: Marks
+) -> list[Line]:
+    """Return every measure and every promise with its verdict.
+
+    Hurried writes are compared with the logs, and count for no measure of service.
+    """
     return [
         *_measures(samples, marks, deployment.late_work),
-        *_comparisons(deployment, samples),
+        *_comparisons(deployment, [*samples, *hurried]),
         *_promises(deployment),
     ]
 
--- a/godwitthread/demo/run.py
+++ b/godwitthread/demo/run.py
@@ -58,6 +58,7 @@
         database = ROLES[deployment.name][0].database
         primary = deployment.cut_primary(database)
         cut_ms = self._clock.now_ms()
+        self._workload.hurry(ROLES[deployment.name][0])
         self._phase(f'primary {primary} cut off', AFTER_CUT_S)
         deployment.heal(database, primary)
         domain = deployment.domains[0]
@@ -73,7 +74,8 @@
         self._phase(f'instance {leaving.state.seat.name} stopped gracefully', STOPPED_S)
         self._workload.stop()
         marks = Marks(cut_ms, database, out_ms, in_ms)
-        return report.lines(deployment, self._workload.samples, marks)
+        workload = self._workload
+        return report.lines(deployment, workload.samples, workload.hurried, marks)
 
     def _set_domain(self, domain: str, state: str) -> int:
         change = set_failure_domain(domain, state)
--- a/godwitthread/demo/workload.py
+++ b/godwitthread/demo/workload.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from random import Random
 from typing import TYPE_CHECKING, Any, NamedTuple
 
@@ -19,6 +20,9 @@
 READ_SQL = f'SELECT COALESCE(MAX(number), 0) FROM {TABLE} WHERE session = $1'
 #: Deadline of one request in ms; covers a failover of at most 8 s.
 DEADLINE_MS = 10_000
+#: Deadline in ms of writes that can't wait for a new primary, and their number.
+HURRIED_DEADLINE_MS = 200
+HURRIED_WRITES = 5
 #: Attempts of one transaction that was rolled back.
 TRANSACTION_ATTEMPTS = 3
 #: Accepted age of the reads of planners and customers in ms.
@@ -77,6 +81,8 @@
         self._threads: list[Any] = []
         #: Results in the order in which the requests ended.
         self.samples: list[Sample] = []
+        #: Results of writes with a short deadline, which count for no measure of service.
+        self.hurried: list[Sample] = []
 
     def prepare(self) -> None:
         """Create the table in every database; raise RequestError."""
@@ -91,17 +97,25 @@
                 session = f'{role.name}-{number}'
                 self._threads.append(eventlet.spawn(self._run, role, session))
 
+    def hurry(self, role: Role) -> None:
+        """Send writes whose deadline passes before a lost primary is replaced."""
+        client = self._client(role, HURRIED_DEADLINE_MS)
+        for number in range(HURRIED_WRITES):
+            write_id = f'hurried/{number}'
+            write = partial(client.execute, WRITE_SQL, [write_id, 'hurried', number], mode='write')
+            self._record(role, 'write', write_id, partial(_unread, write), self.hurried)
+
     def stop(self) -> None:
         """Let every session finish its request and end."""
         self._stopping = True
         for thread in self._threads:
             thread.wait()
 
-    def _client(self, role: Role) -> Client:
+    def _client(self, role: Role, deadline_ms: int = DEADLINE_MS) -> Client:
         key = self._keys()[role.organisation][0]
         seed = self._rng.randrange(1 << 30)
         return Client(
-            [self._url()], key, route=role.database, deadline_ms=DEADLINE_MS, rng=Random(seed)
+            [self._url()], key, route=role.database, deadline_ms=deadline_ms, rng=Random(seed)
         )
 
     def _run(self, role: Role, session: str) -> None:
@@ -131,7 +145,12 @@
         self._record(role, 'read', '', read)
 
     def _record(
-        self, role: Role, kind: str, write_id: str, action: Callable[[], tuple[Any, bool]]
+        self,
+        role: Role,
+        kind: str,
+        write_id: str,
+        action: Callable[[], tuple[Any, bool]],
+        samples: list[Sample] | None = None,
     ) -> bool:
         begun_ms = self._clock.now_ms()
         outcome, error, served_by, stale = 'done', '', '', False
@@ -140,7 +159,7 @@
             served_by = answer.served_by or ''
         except RequestError as exc:
             outcome, error = exc.outcome.value, exc.kind.value
-        self.samples.append(
+        (self.samples if samples is None else samples).append(
             Sample(
                 role.name,
                 role.organisation,
@@ -158,6 +177,10 @@
         return outcome == 'done'
 
 
+def _unread(write: Callable[[], Result]) -> tuple[Result, bool]:
+    return write(), False
+
+
 def _keyed_statement(client: Client, params: list[Any]) -> Result:
     return client.execute(WRITE_SQL, params, mode='write', idempotency_key=params[0])
 
