Order a promotion only while no other instance may use the primary

Ruled out: a late order, and a transaction that was open at the former primary (possible as well, see the tests).

An answer of the primary is acknowledged only while the shared lease is valid after it came; otherwise the outcome is unknown. An order needs an exclusive lease, which is complete when the leases of all other instances have ended. Transactions at the former primary end before the order, its positions are no evidence while it is replaced, and the next instance learns of a promotion from its voters. The holder of the duty yields to a newer token that it hears of.

--- a/godwitthread/core/statements.py
+++ b/godwitthread/core/statements.py
@@ -168,3 +168,18 @@
     #: Time until the latency objective of the operation, in ms.
     objective_ms: int = 0
     priority: int = 0
+
+
+def is_repeatable(req: RunRequest) -> bool:
+    """Return whether a statement may be executed twice."""
+    return req.action is Action.SINGLE and not req.writes
+
+
+def unknown_outcome(req: RunRequest, message: str) -> Result:
+    """Return the result of a statement that may have run although its answer is lost."""
+    if req.action is Action.SINGLE:
+        return failure(ErrorKind.CONNECTION_LOST, message, ended=True)
+    if req.action is Action.COMMIT:
+        return failure(ErrorKind.COMMIT_UNKNOWN, message, ended=True)
+    # Without a COMMIT, no effect of the transaction persists.
+    return failure(ErrorKind.TRANSACTION_LOST, message, ended=True)
--- a/godwitthread/events.py
+++ b/godwitthread/events.py
@@ -106,6 +106,7 @@
         _event_type(
             309, 'evidence_not_renewed', 'position of the primary not determined', logging.WARNING
         ),
+        _event_type(311, 'duty_lost', 'promotion duty held by another instance'),
         _event_type(310, 'replica_resumed', 'replica resumed replication'),
         _event_type(401, 'request_refused', 'request refused', logging.DEBUG),
         _event_type(402, 'request_unknown', 'outcome of a request unknown', logging.WARNING),
--- a/godwitthread/gateway/failover.py
+++ b/godwitthread/gateway/failover.py
@@ -123,6 +123,7 @@
             self._running = False
             return
         started_ms = self._clock.now_ms()
+        fenced = False
         # No new work may reach a primary that has failed or is about to hand over.
         self._runner.pause_primary_work(True)
         try:
@@ -143,6 +144,14 @@
                 successor=chosen.id,
                 received=str(chosen.received),
             )
+            fenced = self._runner.lease.acquire_exclusive(chosen.id)
+            if not fenced:
+                raise ProxyError(
+                    ErrorKind.BACKEND_UNAVAILABLE, 'another instance may be using the primary'
+                )
+            self._runner.fence_primary(chosen.id)
+            if self._runner.last_primary is not None:
+                self._runner.end_transactions(self._runner.last_primary)
             self._order_pending = True
             answer = self._order(OrderRequest(self._runner.name, chosen.id))
             is_primary = answer.done and self._wait_until_primary(chosen.id)
@@ -164,6 +173,10 @@
                 # While an order is pending, replicas stay paused: its late effect would roll back
                 # what they received since.
                 self._replicas.resume()
+            if fenced:
+                former = None if self._order_pending else self._runner.last_primary or ''
+                self._runner.lease.end_exclusive(former)
+                self._runner.end_fence()
             self._runner.pause_primary_work(False)
             gap_ms = PLANNED_RETRY_MS if planned else PROMOTION_ORDER_INTERVAL_MS
             self._next_ms = self._clock.now_ms() + gap_ms
--- a/godwitthread/gateway/group_runner.py
+++ b/godwitthread/gateway/group_runner.py
@@ -32,7 +32,7 @@
     from godwitthread.clock import Clock
     from godwitthread.core.statements import Prepared, RunRequest
     from godwitthread.gateway.logs import Log
-    from godwitthread.gateway.ports import Ports
+    from godwitthread.gateway.ports import Ports, PrimaryLease
     from godwitthread.types import Position
 
 #: Shortest time in which a member can answer, in ms; a further attempt of a read waits no longer
@@ -52,6 +52,9 @@
 #: Time that transactions on a member have to end once its failure domain is being evacuated, in
 #: ms. Nothing may reach the member after 5 s.
 EVACUATED_TX_MS = 3_500
+#: Message of an answer that can't be acknowledged, since the member that gave it may have been
+#: replaced as the primary before.
+UNCONFIRMED = 'the primary may have been replaced'
 #: Interval of housekeeping, in ms.
 TICK_MS = 50
 
@@ -63,6 +66,8 @@
     member: str
     #: Whether it was begun on the primary, so that its answers are evidence of its position.
     on_primary: bool
+    #: Epoch of the group in which it was begun.
+    epoch: int
 
 
 class GroupRunner(MemberGroup):
@@ -75,8 +80,9 @@
         ports: Ports,
         log: Log,
         admit: Callable[[str, int, int], int],
+        lease: PrimaryLease,
     ) -> None:
-        super().__init__(name, clock, ports, log)
+        super().__init__(name, clock, ports, log, lease)
         #: Takes an organisation and the maximum waits for its rate and for its granter, in ms.
         #: Returns 0 if the operation is admitted, else the delay before a retry, in ms.
         self._admit = admit
@@ -131,6 +137,7 @@
     def tick(self, owned: bool) -> None:
         """End transactions that must not continue, and renew evidence while reads depend on it."""
         now_ms = self._clock.now_ms()
+        self.refresh_primary()
         for member_id, since_ms in self.evacuated.items():
             if now_ms - since_ms > EVACUATED_TX_MS:
                 self.end_transactions(member_id)
@@ -157,10 +164,12 @@
             conn = self._connect(granted, req, deadline_ms)
             if conn is None:
                 continue
-            sent_ms = self._clock.now_ms()
+            sent_ms, epoch = self._clock.now_ms(), self.epoch
             reply = self._statement(conn, req, deadline_ms, None)
             self._finish(granted, conn, sent_ms, reply)
             if reply.refusal is None:
+                if not self.may_acknowledge(epoch):
+                    return failure(ErrorKind.CONNECTION_LOST, UNCONFIRMED)
                 self._record_evidence(granted, sent_ms, reply)
                 return _success(reply)
             if reply.refusal in NOT_RUN:
@@ -260,9 +269,10 @@
         conn = self._connect(member_id, req, deadline_ms)
         if conn is None:
             return Reply(refusal=Refusal.UNREACHABLE)
-        sent_ms = self._clock.now_ms()
+        sent_ms, epoch = self._clock.now_ms(), self.epoch
         guarded = work.primary and req.consistency is Consistency.PRIMARY
-        if guarded or work.required is None:
+        on_primary = guarded or work.required is None
+        if on_primary:
             # Only a BEGIN without READ proves that the member is the primary now: a former
             # primary answers plain reads as a replica.
             reply = conn.begin(False, None, self._left_ms(deadline_ms))
@@ -277,6 +287,8 @@
             if reply.refusal is None and state is not None and member_id != self.last_primary:
                 state.record_applied(sent_ms, sent_ms - work.required_ms)
         self._finish(member_id, conn, sent_ms, reply)
+        if on_primary and reply.refusal is None and not self.may_acknowledge(epoch):
+            return Reply(refusal=Refusal.UNREACHABLE, message=UNCONFIRMED)
         return reply
 
     def _in_transaction(self, sender: str, req: RunRequest, deadline_ms: int) -> Result:
@@ -296,6 +308,8 @@
         commit = req.action is Action.COMMIT
         sent_ms, reply = self._run_in(tx, req, deadline_ms, commit)
         tx.conn.used_ms = self._clock.now_ms()
+        if tx.on_primary and reply.refusal is None and not self.may_acknowledge(tx.epoch):
+            reply = Reply(refusal=Refusal.LOST, message=UNCONFIRMED)
         if reply.refusal is not None:
             return self._fail_transaction(key, tx, reply, commit)
         if tx.on_primary:
@@ -347,14 +361,14 @@
             conn = self._connect(granted, req, deadline_ms)
             if conn is None:
                 continue
-            sent_ms = self._clock.now_ms()
+            sent_ms, epoch = self._clock.now_ms(), self.epoch
             reply = conn.begin(not on_primary, required, self._left_ms(deadline_ms))
             # BEGIN takes no slot, so its duration is no measure of the member's service time.
             self._record_result(granted, sent_ms, reply, timed=False)
             if reply.refusal is None:
                 if on_primary:
                     self._record_evidence(granted, sent_ms, reply)
-                return OpenTransaction(conn, granted, on_primary)
+                return OpenTransaction(conn, granted, on_primary, epoch)
             self._release(granted, conn)
             self._on_not_run(granted, reply)
 
--- a/godwitthread/gateway/links.py
+++ b/godwitthread/gateway/links.py
@@ -98,6 +98,8 @@
         self._buffer = b''
         self._thread = eventlet.spawn(self._write)
         self.closed = False
+        #: Name of the peer at the other end, '' until it identified itself.
+        self.peer_name = ''
 
     def send(self, call_id: int, kind: str, body: Any) -> None:
         """Queue a frame for sending."""
@@ -322,6 +324,7 @@
         if first is None:
             return
         hello = _hellos.decode(first)
+        stream.peer_name = hello.name
         # Each connection is a separate sender: its open transactions end with it, and a later
         # connection of the same peer never joins them.
         sender = f'{hello.name}/{hello.incarnation}/{next(_connections)}'
--- a/godwitthread/gateway/member_group.py
+++ b/godwitthread/gateway/member_group.py
@@ -9,6 +9,7 @@
 from godwitthread.core.dispatch import Dispatcher, MemberState, WorkItem
 from godwitthread.core.position_evidence import PositionEvidence
 from godwitthread.core.statements import NOT_RUN, Refusal, Reply, Result, RunRequest, failure
+from godwitthread.core.write_authority import Succession
 from godwitthread.errors import ErrorKind
 from godwitthread.gateway.member_pool import MemberPool
 from godwitthread.gateway.ports import NotConnectedError
@@ -18,7 +19,7 @@
     from godwitthread.clock import Clock
     from godwitthread.core.catalog import Group, Member
     from godwitthread.gateway.logs import Log
-    from godwitthread.gateway.ports import Connection, Ports
+    from godwitthread.gateway.ports import Connection, Ports, PrimaryLease
     from godwitthread.types import Position
 
 #: Delay after a member reported that it is busy, in ms; about the service time of a statement.
@@ -32,18 +33,30 @@
 class MemberGroup:
     """Track the connections, load, log positions and primary of a group's members."""
 
-    def __init__(self, name: str, clock: Clock, ports: Ports, log: Log) -> None:
+    def __init__(
+        self, name: str, clock: Clock, ports: Ports, log: Log, lease: PrimaryLease
+    ) -> None:
         self.name = name
+        self.lease = lease
         self.dispatcher = Dispatcher()
         self.evidence = PositionEvidence()
         self.pools: dict[str, MemberPool] = {}
         self.members: dict[str, Member] = {}
+        #: Organisation of the newest statement, None before the first one.
+        self._last_organisation: str | None = None
         #: Members whose failure domain is being evacuated, with the start of the evacuation, in ms.
         self.evacuated: dict[str, int] = {}
         #: Whether work for the primary waits for the end of a failover.
         self.primary_work_paused = False
         #: Last known primary.
         self.last_primary: str | None = None
+        #: Number of promotions; an answer to work sent before the last one is not acknowledged.
+        self.epoch = 0
+        #: Member whose promotion is ordered; meanwhile the former primary proves no position.
+        self._successor: str | None = None
+        #: Newest promotion that this instance has followed.
+        self._followed = Succession()
+        self._following = False
         self._clock = clock
         self._ports = ports
         self._log = log
@@ -107,14 +120,38 @@
     def any_organisation(self) -> str | None:
         """Return an organisation that uses the group, None if there is none yet."""
         names = (pool.any_organisation() for pool in self.pools.values())
-        return next((name for name in names if name), None)
+        return next((name for name in names if name), self._last_organisation)
+
+    def fence_primary(self, successor: str) -> None:
+        """Acknowledge no work that was sent to the primary until now, before an order."""
+        self.epoch += 1
+        self._successor = successor
+
+    def end_fence(self) -> None:
+        """Use the known primary again after the outcome of an order was announced."""
+        self._successor = None
+        self._followed = self.lease.succession
+
+    def may_acknowledge(self, epoch: int) -> bool:
+        """Return whether the primary was certainly not replaced since work of an epoch was sent."""
+        return epoch == self.epoch and self.lease.is_valid()
+
+    def refresh_primary(self) -> None:
+        """Give work to the primary only while this instance has the authority to use it."""
+        usable = not self.primary_work_paused and self.lease.is_valid() and self._follow_promotion()
+        primary = self.last_primary if usable else None
+        if primary != self.dispatcher.primary:
+            self.dispatcher.primary = primary
+            self.dispatch_waiting()
 
     def set_promoted(self, member_id: str) -> None:
-        """Make a member the known primary after this instance had it promoted."""
+        """Make a member the known primary after it was promoted."""
+        self.epoch += 1
+        self._successor = None
         self._invalid_claims.discard(member_id)
         for other in self.members.keys() - {member_id}:
             self._invalidate_claim(other)
-        self._set_primary(member_id)
+        self._set_primary(member_id if member_id in self.members else None)
 
     def confirm_primary(self, member_id: str) -> bool:
         """Probe whether a member is the primary; any answer counts as proof that it is alive."""
@@ -141,8 +178,7 @@
     def pause_primary_work(self, paused: bool) -> None:
         """Pause or resume the assignment of work to the primary."""
         self.primary_work_paused = paused
-        self.dispatcher.primary = None if paused else self.last_primary
-        self.dispatch_waiting()
+        self.refresh_primary()
 
     def unanswered_ms(self, member_id: str) -> int:
         """Return for how long a member has left requests unanswered, in ms."""
@@ -194,6 +230,9 @@
 
     def _wait_for_member(self, work: WorkItem) -> str | Result:
         now_ms = self._clock.now_ms()
+        self._last_organisation = work.organisation or self._last_organisation
+        if work.primary:
+            self.refresh_primary()
         refused = self.dispatcher.submit(now_ms, work)
         if refused is not None:
             return failure(
@@ -265,7 +304,8 @@
         self.dispatch_waiting()
 
     def _record_evidence(self, member_id: str, sent_ms: int, reply: Reply) -> None:
-        if reply.position is not None:
+        ordered = self._successor not in (None, member_id)
+        if reply.position is not None and not ordered and self.lease.is_valid():
             self.evidence.record(sent_ms, reply.position)
 
     def _required(self, req: RunRequest) -> Position | None:
@@ -321,8 +361,38 @@
             return
         self._log.event('primary_changed', group=self.name, member=member_id or '')
         self.last_primary = member_id
-        self.dispatcher.primary = None if self.primary_work_paused else member_id
-        self.dispatch_waiting()
+        self.refresh_primary()
+
+    def _follow_promotion(self) -> bool:
+        """Return whether the known primary is that of the newest promotion by any instance."""
+        newest = self.lease.succession
+        if newest <= self._followed:
+            return True
+        if newest.confirmed:
+            self._followed = newest
+            self.set_promoted(newest.member)
+        elif not self._following and self.any_organisation() is not None:
+            self._following = True
+            eventlet.spawn_n(self._check_promotion, newest)
+        return newest.confirmed
+
+    def _check_promotion(self, newest: Succession) -> None:
+        """Find out whether a promotion that another instance ordered has taken effect."""
+        state = self.dispatcher.members.get(newest.member)
+        answered_ms = state.last_answer_ms if state else 0
+        try:
+            promoted = self.confirm_primary(newest.member)
+        finally:
+            self._following = False
+        if newest != self.lease.succession:
+            return
+        self._followed = newest
+        if promoted:
+            self.set_promoted(newest.member)
+        elif state is None or state.last_answer_ms == answered_ms:
+            # Another member may be used only after a promotion by this instance.
+            self.set_promoted('')
+        self.refresh_primary()
 
     def _add(self, now_ms: int, member: Member) -> None:
         self._drop(member.id)
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -10,13 +10,22 @@
 from godwitthread.core import ownership, wait_limits
 from godwitthread.core.ownership import PeerReachability
 from godwitthread.core.rate_grants import Grant
-from godwitthread.core.statements import Action, Result, RunRequest, failure
+from godwitthread.core.statements import (
+    Action,
+    Result,
+    RunRequest,
+    failure,
+    is_repeatable,
+    unknown_outcome,
+)
 from godwitthread.errors import ErrorKind, ProxyError
 from godwitthread.gateway import links, promotion_duty
+from godwitthread.gateway.authority_manager import AuthorityManager, ClaimRequest
 from godwitthread.gateway.failover import Failover
 from godwitthread.gateway.group_runner import TICK_MS, GroupRunner
 from godwitthread.gateway.links import HeartbeatStatus, Hello, Link
 from godwitthread.gateway.ownership_manager import ManagedGroup, OwnershipManager
+from godwitthread.gateway.peer_eviction import PeerEviction
 from godwitthread.gateway.peer_sync import PeerSync, ViewRequest
 from godwitthread.gateway.promotion_duty import OrderAnswer, OrderRequest, PromotionDuty
 from godwitthread.gateway.rate_limiter import GrantRequest, RateLimiter
@@ -43,9 +52,6 @@
 CALL_SLACK_MS = 150
 #: Time limit of an order that another instance carries out, in ms: the sum over all attempts.
 ORDER_TIMEOUT_MS = promotion_duty.ORDER_TIMEOUT_MS * (2**promotion_duty.MAX_ORDER_ATTEMPTS - 1)
-#: Time for which a registered peer must be unreachable before its entry is removed, in ms. A
-#: restart takes less.
-EVICTION_DELAY_MS = 10_000
 #: Time after the list of instances is known until an instance may own resources without having
 #: reached all candidates, in ms. Without it, each of several instances that start at the same time
 #: would own everything.
@@ -63,6 +69,7 @@
 _grant_requests = msgspec.msgpack.Decoder(GrantRequest)
 _grants = msgspec.msgpack.Decoder(Grant)
 _order_requests = msgspec.msgpack.Decoder(OrderRequest)
+_claim_requests = msgspec.msgpack.Decoder(ClaimRequest)
 _order_answers = msgspec.msgpack.Decoder(OrderAnswer)
 _view_requests = msgspec.msgpack.Decoder(ViewRequest)
 
@@ -98,12 +105,21 @@
         self.ownership_manager = OwnershipManager(
             peer.name, clock, self._reach, self.rate_limiter, log
         )
+        self.authority = AuthorityManager(
+            peer.name,
+            self._sender(),
+            clock,
+            self._links,
+            self.inbound,
+            lambda: self.view.peers,
+            self._on_lease_granted,
+            log,
+        )
         self._watchers: list[StoreWatcher] = []
         self._store_health = StoreHealth()
         self._organisations: dict[str, Organisation] = {}
-        self._unreachable_since_ms: dict[str, int] = {}
+        self._eviction = PeerEviction(clock, ports, log, self.view.row_revision)
         self._ownerless_since_ms: dict[str, int] = {}
-        self._registered_revision = 0
         self._hello = Hello(peer.name, peer.incarnation)
 
     # Life cycle
@@ -184,8 +200,8 @@
                 return self._run_at(owner, left), owner
             except ProxyError as exc:
                 not_run = exc.kind in (ErrorKind.BACKEND_UNAVAILABLE, ErrorKind.MOVED)
-                if not not_run and not _repeatable(req):
-                    return _unknown_outcome(req, exc), owner
+                if not not_run and not is_repeatable(req):
+                    return unknown_outcome(req, exc.message), owner
                 if self.clock.now_ms() + ROUTE_RETRY_MS >= started_ms + wait_ms:
                     if not not_run:
                         return failure(ErrorKind.CONNECTION_LOST, exc.message), owner
@@ -249,7 +265,11 @@
             return self._grant(_grant_requests.decode(body))
         if kind == 'order':
             request = _order_requests.decode(body)
+            self.duty.yield_to(self._newest_duty_token())
             return self.duty.order(request.group, request.member)
+        if kind == 'claim':
+            holder = sender.rpartition('/')[0]
+            return self.authority.answer(holder, _claim_requests.decode(body))
         if kind == 'view':
             return self.peer_sync.answer(_view_requests.decode(body))
         raise ProxyError(ErrorKind.NOT_FOUND, f'no handler for {kind}')
@@ -283,10 +303,14 @@
         def known_holder() -> str | None:
             return ownership.duty_holder({name: each.reach() for name, each in self._links.items()})
 
+        self.duty.yield_to(self._newest_duty_token())
         return promotion_duty.order_through_holder(
             self.duty, self.peer.name, request, ask, known_holder, is_up
         )
 
+    def _newest_duty_token(self) -> int:
+        return max((each.duty_token for each in self._reach().values() if each.up), default=0)
+
     # Ownership
 
     def _reach(self) -> dict[str, PeerReachability]:
@@ -309,7 +333,8 @@
         for name, group in cfg.groups.items():
             runner = self.runners.get(name)
             if runner is None:
-                runner = GroupRunner(name, self.clock, self._ports, self.log, self._admit)
+                lease = self.authority.add(name)
+                runner = GroupRunner(name, self.clock, self._ports, self.log, self._admit, lease)
                 self.runners[name] = runner
                 failover = Failover(runner, self.clock, self.log, self._order)
                 self.ownership_manager.add(name, ManagedGroup(runner, failover))
@@ -318,6 +343,7 @@
         for name in self.runners.keys() - cfg.groups.keys():
             del self.runners[name]
             self.ownership_manager.remove(name)
+            self.authority.remove(name)
         self._update_links()
 
     def _update_links(self) -> None:
@@ -337,14 +363,15 @@
             )
         for name in self._links.keys() - {peer.name for peer in chosen}:
             self._links.pop(name).stop()
-            self._unreachable_since_ms.pop(name, None)
+            self._eviction.set_reachable(name)
 
     def _on_link_change(self, name: str, up: bool) -> None:
         if up:
-            self._unreachable_since_ms.pop(name, None)
-        elif name not in self._unreachable_since_ms:
-            self._unreachable_since_ms[name] = self.clock.now_ms()
-            self.log.event('peer_lost', peer=name)
+            self._eviction.set_reachable(name)
+        else:
+            self.authority.drop_voter(name)
+            if self._eviction.set_unreachable(name):
+                self.log.event('peer_lost', peer=name)
         self.ownership_manager.reconcile()
 
     # Background work
@@ -362,8 +389,10 @@
         self._update_ready_to_own()
         self._end_sessions_in_minority()
         self.ownership_manager.reconcile()
+        self.authority.update_voters(self.ownership_manager.candidates)
+        self.authority.tick(self.ownership_manager.active_groups())
         self.ownership_manager.tick()
-        self._evict()
+        self._eviction.tick(lambda: self.ownership_manager.owner('evict') == self.peer.name)
 
     def _update_ready_to_own(self) -> None:
         """Allow ownership once the store content and the reachability of the peers are known."""
@@ -423,27 +452,13 @@
                 'store_unavailable', table=promotion_duty.DUTY_TABLE, reason=exc.message
             )
 
-    def _evict(self) -> None:
-        now_ms = self.clock.now_ms()
-        for name, since_ms in list(self._unreachable_since_ms.items()):
-            if (
-                now_ms - since_ms < EVICTION_DELAY_MS
-                or self.ownership_manager.owner('evict') != self.peer.name
-            ):
-                continue
-            self._unreachable_since_ms[name] = now_ms
-            revision = self.view.row_revision(PEER_TABLE, name)
-            if revision:
-                eventlet.spawn_n(self._remove_peer, name, revision)
-
-    def _remove_peer(self, name: str, revision: int) -> None:
-        try:
-            self._ports.store().remove(PEER_TABLE, name, revision)
-        except Exception as exc:
-            self.log.failure('store_unavailable', table=PEER_TABLE, reason=str(exc))
-
     # Helpers
 
+    def _on_lease_granted(self, group: str) -> None:
+        runner = self.runners.get(group)
+        if runner is not None:
+            runner.refresh_primary()
+
     def _reads_store(self) -> bool:
         """Return whether this instance reads the store itself rather than through peers.
 
@@ -470,16 +485,3 @@
 
     def _sender(self) -> str:
         return f'{self.peer.name}/{self.peer.incarnation}'
-
-
-def _repeatable(req: RunRequest) -> bool:
-    """Return whether a statement may be executed twice."""
-    return req.action is Action.SINGLE and not req.writes
-
-
-def _unknown_outcome(req: RunRequest, exc: ProxyError) -> Result:
-    if req.action is Action.SINGLE:
-        return failure(ErrorKind.CONNECTION_LOST, exc.message, ended=True)
-    if req.action is Action.COMMIT:
-        return failure(ErrorKind.COMMIT_UNKNOWN, exc.message, ended=True)
-    return failure(ErrorKind.TRANSACTION_LOST, exc.message, ended=True)
--- a/godwitthread/gateway/ownership_manager.py
+++ b/godwitthread/gateway/ownership_manager.py
@@ -87,6 +87,10 @@
             self._invalidate()
         return chosen
 
+    def active_groups(self) -> set[str]:
+        """Return the groups that this instance owns or has open work of."""
+        return self.owned | self._draining_groups
+
     def is_candidate(self, name: str) -> bool:
         """Return whether an instance is eligible as an owner."""
         return any(peer.name == name for peer in self.candidates)
--- a/godwitthread/gateway/ports.py
+++ b/godwitthread/gateway/ports.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from godwitthread.core.statements import Prepared, Refusal, TxState
+    from godwitthread.core.write_authority import Succession
 
 
 class MemberStatus(NamedTuple):
@@ -91,6 +92,26 @@
         """Close the connection."""
 
 
+class PrimaryLease(Protocol):
+    """Authority of this instance to use the primary of one group."""
+
+    @property
+    def succession(self) -> Succession:
+        """Return the newest known promotion of the group."""
+
+    def is_valid(self) -> bool:
+        """Return whether work of the primary may be sent and acknowledged."""
+
+    def acquire_exclusive(self, member: str) -> bool:
+        """Announce the promotion of a member, and wait until no other instance uses the primary.
+
+        Return False if that could not be achieved in time; no promotion may be ordered then.
+        """
+
+    def end_exclusive(self, primary: str | None) -> None:
+        """Let other instances use the primary again; None if the order may still take effect."""
+
+
 class StoredRow(NamedTuple):
     """Row of a store table."""
 
--- a/godwitthread/gateway/promotion_duty.py
+++ b/godwitthread/gateway/promotion_duty.py
@@ -128,6 +128,16 @@
             self.lose()
         return OrderAnswer(result.done, result.refused, result.final)
 
+    def yield_to(self, newest_token: int) -> None:
+        """Give the duty up if a reachable instance reports a newer token.
+
+        A former holder that lacks the store may not know of its successor, and a platform that
+        does not check tokens would carry out the orders of both.
+        """
+        if self.held and newest_token > self.token:
+            self._log.event('duty_lost', token=self.token, newest=newest_token)
+            self.lose()
+
     def lose(self) -> None:
         """Record that another instance holds the duty."""
         self._next_token = None
--- a/tests/test_gateway/fakes.py
+++ b/tests/test_gateway/fakes.py
@@ -15,6 +15,7 @@
     RunRequest,
     TxState,
 )
+from godwitthread.core.write_authority import Succession
 from godwitthread.events import EventLog, HybridLogicalClock
 from godwitthread.gateway.group_runner import GroupRunner
 from godwitthread.gateway.logs import Log
@@ -56,6 +57,8 @@
         self.unreachable: set[str] = set()
         #: Term for which a replica is paused, by name.
         self.paused: dict[str, int] = {}
+        #: Former primaries that do not know of their replacement and go on.
+        self.unaware: set[str] = set()
         self.connections: list[FakeConnection] = []
 
     def promote(self, name: str) -> None:
@@ -83,6 +86,10 @@
         self.connections.append(conn)
         return conn, Reply(position=self.applied[member.id])
 
+    def leads(self, name: str) -> bool:
+        """Return whether a member acts as the primary."""
+        return name == self.primary or name in self.unaware
+
     def texts(self) -> list[str]:
         """Return the texts of the callers' statements that were executed."""
         return [entry.text for entry in self.ran]
@@ -116,11 +123,11 @@
             return self._reply(refusal=scripted)
         if after is not None and self.group.applied[self.member] < after:
             return self._reply(refusal=Refusal.BEHIND)
-        if self._on_primary and self.member != self.group.primary:
+        if self._on_primary and not self.group.leads(self.member):
             self.state = TxState.FAILED
             return self._reply(refusal=Refusal.READ_ONLY)
         writes = text.startswith(('WRITE', 'EXEC gw'))
-        if writes and self.member != self.group.primary:
+        if writes and not self.group.leads(self.member):
             return self._reply(refusal=Refusal.READ_ONLY)
         self.group.ran.append(
             Entry(self.member, self.organisation, statement_id, text, self.state, dict(self.values))
@@ -151,7 +158,7 @@
         scripted = self._scripted('BEGIN')
         if scripted is not None:
             return self._reply(refusal=scripted)
-        if not read_only and self.member != self.group.primary:
+        if not read_only and not self.group.leads(self.member):
             return self._reply(refusal=Refusal.READ_ONLY)
         if after is not None and self.group.applied[self.member] < after:
             return self._reply(refusal=Refusal.BEHIND)
@@ -195,6 +202,26 @@
         )
 
 
+class FakeLease:
+    """Authority to use the primary of a group, as a test sets it."""
+
+    def __init__(self) -> None:
+        self.valid = True
+        self.exclusive_granted = True
+        self.succession = Succession()
+
+    def is_valid(self) -> bool:
+        return self.valid
+
+    def acquire_exclusive(self, member: str) -> bool:
+        self.succession = Succession(self.succession.number + 1, False, member)
+        return self.exclusive_granted
+
+    def end_exclusive(self, primary: str | None) -> None:
+        if primary is not None:
+            self.succession = Succession(self.succession.number, True, primary)
+
+
 def quiet_log(clock: Clock) -> Log:
     """Build a log that writes to an event log in memory."""
     return Log(EventLog({'instance': 'a'}, HybridLogicalClock(clock.wall_ms)), clock)
@@ -230,7 +257,8 @@
 ) -> GroupRunner:
     """Build a runner with the members of a fake group."""
     clock = Clock()
-    made = GroupRunner(GROUP.name, clock, ports(group), quiet_log(clock), admit)
+    log = quiet_log(clock)
+    made = GroupRunner(GROUP.name, clock, ports(group), log, admit, FakeLease())
     made.update(settings, members(group), set(), 3_000)
     return made
 
--- a/tests/test_gateway/test_failover.py
+++ b/tests/test_gateway/test_failover.py
@@ -6,7 +6,7 @@
 import pytest
 
 from godwitthread.clock import Clock
-from godwitthread.core.statements import Refusal
+from godwitthread.core.statements import Action, Consistency, Refusal
 from godwitthread.errors import ErrorKind, ProxyError
 from godwitthread.gateway import failover
 from godwitthread.gateway.promotion_duty import OrderAnswer
@@ -238,3 +238,48 @@
 
 def _fail(request):
     raise ProxyError(ErrorKind.STORE_UNAVAILABLE, 'store outage')
+
+
+def test_nothing_is_ordered_while_another_instance_may_use_the_primary(world):
+    """Guard against a promotion by an instance that lost the group while it probed the primary."""
+    group, made, over, orders = world
+    made.run('a', request('READ i'))
+    made.pools['m0'].refused_since_ms = 1
+    made.lease.exclusive_granted = False
+    run_failover(over)
+    assert orders == []
+    assert not made.primary_work_paused
+
+
+def test_a_transaction_at_the_former_primary_does_not_outlast_its_replacement(world):
+    """Guard against a commit at a primary that does not know of its replacement."""
+    group, made, over, orders = world
+    group.unaware.add('m0')
+    tx = {'consistency': Consistency.PRIMARY}
+    made.run('a', request('WRITE i x', Action.IN_TRANSACTION, **tx))
+    made.pools['m0'].refused_since_ms = 1
+    run_failover(over)
+    assert len(orders) == 1
+    ended = made.run('a', request('COMMIT', Action.COMMIT, first=False, **tx))
+    assert ended.error == ErrorKind.TRANSACTION_LOST.value
+    assert 'COMMIT' not in group.texts()
+
+
+def test_positions_of_the_former_primary_prove_nothing_while_it_is_replaced(world):
+    """Guard against stale reads that rely on a primary which does not know of its replacement."""
+    group, made, over, _ = world
+    group.unaware.add('m0')
+    made.run('a', request('READ i'))
+    made.pools['m0'].refused_since_ms = 1
+    known = made.evidence.newest
+
+    def order(req):
+        group.applied['m0'] = Position(1, 99)
+        made.confirm_primary('m0')
+        assert made.evidence.newest == known
+        group.promote(req.member)
+        return OrderAnswer(True, False)
+
+    over._order = order
+    run_failover(over)
+    assert made.evidence.newest == group.applied[group.primary]
--- a/tests/test_gateway/test_group_runner.py
+++ b/tests/test_gateway/test_group_runner.py
@@ -6,8 +6,18 @@
 import pytest
 
 from godwitthread.core.statements import Action, Consistency, Prepared, Refusal, TxState
+from godwitthread.core.write_authority import Succession
+from godwitthread.errors import ErrorKind
 from godwitthread.gateway import group_runner
-from tests.test_gateway.fakes import GROUP, FakeGroup, member, members, request, runner
+from tests.test_gateway.fakes import (
+    GROUP,
+    FakeConnection,
+    FakeGroup,
+    member,
+    members,
+    request,
+    runner,
+)
 
 
 def test_a_new_transaction_never_joins_one_left_open_by_the_same_session():
@@ -220,3 +230,63 @@
 
 def _update(group, entries=None, evacuated=frozenset(), tx_idle_ms=3_000):
     return GROUP, entries or members(group), set(evacuated), tx_idle_ms
+
+
+def test_a_write_is_unknown_if_the_authority_ended_before_its_answer():
+    """Guard against the acknowledgement of a write by a primary that was replaced meanwhile."""
+    group = FakeGroup()
+    made = runner(group)
+    conn_run = FakeConnection.run
+
+    def run(self, statement_id, text, timeout_ms, after=None):
+        made.lease.valid = not text.startswith('WRITE')
+        return conn_run(self, statement_id, text, timeout_ms, after)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(FakeConnection, 'run', run)
+        result = made.run('a', request('WRITE i x'))
+    assert result.error == ErrorKind.CONNECTION_LOST.value
+
+
+def test_nothing_is_sent_to_the_primary_without_the_authority_to_use_it():
+    """Guard against writes of an instance that is cut off from the other instances."""
+    group = FakeGroup()
+    made = runner(group)
+    made.lease.valid = False
+    result = made.run('a', request('WRITE i x', remaining_ms=100))
+    assert result.error == ErrorKind.BACKEND_UNAVAILABLE.value
+    assert group.texts() == []
+
+
+@pytest.mark.parametrize('confirmed', [True, False])
+def test_a_promotion_by_another_instance_is_followed(confirmed):
+    """Guard against work for a former primary that still accepts it."""
+    group = FakeGroup()
+    made = runner(group)
+    made.run('a', request('WRITE i x'))
+    group.unaware.add('m0')
+    group.promote('m1')
+    made.lease.succession = Succession(1, confirmed, 'm1')
+    assert made.run('a', request('WRITE i y')).receipt == 'receipt-m1'
+
+
+def test_an_order_of_another_instance_that_had_no_effect_changes_nothing():
+    """Guard against a group without a primary after an instance died before its order."""
+    group = FakeGroup()
+    made = runner(group)
+    made.run('a', request('WRITE i x'))
+    made.lease.succession = Succession(1, False, 'm1')
+    assert made.run('a', request('WRITE i y')).receipt == 'receipt-m0'
+
+
+def test_the_primary_is_unknown_while_an_ordered_member_does_not_answer():
+    """Guard against a former primary that is used although its replacement may have led."""
+    group = FakeGroup()
+    made = runner(group)
+    made.run('a', request('WRITE i x'))
+    group.unreachable.add('m1')
+    made.pools['m1'].close_idle()
+    made.lease.succession = Succession(1, False, 'm1')
+    result = made.run('a', request('WRITE i y', remaining_ms=300))
+    assert result.error == ErrorKind.BACKEND_UNAVAILABLE.value
+    assert made.last_primary is None
--- a/tests/test_gateway/test_promotion_duty.py
+++ b/tests/test_gateway/test_promotion_duty.py
@@ -183,3 +183,17 @@
 
 def no_holder() -> None:
     """Return no holder, as if no peer reported the duty."""
+
+
+def test_a_former_holder_stops_once_it_hears_of_a_newer_token():
+    """Guard against orders of two holders at a platform that does not check their tokens."""
+    store = OneRowStore()
+    former, sent = duty(store, 'a')
+    former.take()
+    successor, _ = duty(store, 'b')
+    successor.take()
+    former.yield_to(successor.token)
+    assert not former.held
+    with pytest.raises(ProxyError):
+        former.order('orders', 'm1')
+    assert sent == []
