--- a/godwitthread/gateway/authority_manager.py
+++ b/godwitthread/gateway/authority_manager.py
@@ -34,6 +34,9 @@
 CLAIM_TIMEOUT_MS = 500
 #: Time in which an exclusive lease must be complete, in ms: the leases of others, and two renewals.
 EXCLUSIVE_TIMEOUT_MS = SHARED_LEASE_MS + 2 * RENEWAL_MS
+#: Time after the start in which the links to all reachable instances are established, in ms. An
+#: instance that is gone for good would otherwise delay the first leases after a restart of all.
+REACH_MS = 500
 #: Poll interval of an exclusive lease that is being acquired, in ms.
 POLL_MS = 5
 
@@ -112,6 +115,7 @@
         self._clock = clock
         self._links = links
         self._inbound = inbound
+        self._started_ms = clock.now_ms()
         #: Returns the registered instances.
         self._peers = peers
         self._candidates: set[str] = set()
@@ -203,16 +207,19 @@
         return link is not None and link.reach().refused
 
     def _is_settled(self) -> bool:
-        """Return whether each candidate has a link to this process, or no running process.
+        """Return whether each candidate has a link to this process, or can't be reached.
 
         An instance relies on the leases of a voter only until its link to the voter has ended.
         """
         linked = {stream.peer_name for stream in self._inbound}
         others = self._candidates - {self._name}
-        return bool(others) and all(
-            name in linked or (name in self._links and self._links[name].reach().refused)
-            for name in others
-        )
+        waited = self._clock.now_ms() - self._started_ms >= REACH_MS
+
+        def is_settled(name: str) -> bool:
+            link = self._links.get(name)
+            return link is not None and (link.reach().refused or (waited and not link.up))
+
+        return bool(others) and all(name in linked or is_settled(name) for name in others)
 
     def _send(self, claims: list[Claim]) -> None:
         request = ClaimRequest(tuple(claims))
--- a/tests/test_gateway/test_authority_manager.py
+++ b/tests/test_gateway/test_authority_manager.py
@@ -125,3 +125,20 @@
     for name in ('b', 'c'):
         world.managers['a'].drop_voter(name)
     assert not world.leases['a'].is_valid()
+
+
+def test_an_instance_that_is_gone_does_not_delay_the_leases_after_a_restart_of_all(
+    world, monkeypatch
+):
+    """Guard against a second without writes while the list still names a removed instance."""
+    monkeypatch.setattr('godwitthread.gateway.authority_manager.REACH_MS', 50)
+    world.isolate('c')
+    for manager in world.managers.values():
+        manager._inbound.discard(next(s for s in manager._inbound if s.peer_name != 'b'))
+    world.managers['a'].tick({'orders'})
+    eventlet.sleep(0)
+    assert not world.leases['a'].is_valid()
+    eventlet.sleep(0.12)
+    world.managers['a'].tick({'orders'})
+    eventlet.sleep(0)
+    assert world.leases['a'].is_valid()
