Check idle connections of a process with more than 1,024 sockets, and free slots on errors

Change: poll() for the check, which has no such limit; an unexpected error in an attempt frees its slot and is logged.

--- a/godwitthread/gateway/group_runner.py
+++ b/godwitthread/gateway/group_runner.py
@@ -161,11 +161,12 @@
             granted = self._acquire(req, None, min(hold_ms, deadline_ms), primary=True)
             if isinstance(granted, Result):
                 return granted
-            conn = self._connect(granted, req, deadline_ms)
-            if conn is None:
-                continue
-            sent_ms, epoch = self._clock.now_ms(), self.epoch
-            reply = self._statement(conn, req, deadline_ms, None)
+            with self._release_slot_on_error(granted):
+                conn = self._connect(granted, req, deadline_ms)
+                if conn is None:
+                    continue
+                sent_ms, epoch = self._clock.now_ms(), self.epoch
+                reply = self._statement(conn, req, deadline_ms, None)
             self._finish(granted, conn, sent_ms, reply)
             if reply.refusal is None:
                 if not self.may_acknowledge(epoch):
@@ -260,7 +261,11 @@
         req: RunRequest,
         deadline_ms: int,
     ) -> None:
-        reply = self._try_read(work, member_id, req, deadline_ms)
+        try:
+            reply = self._try_read(work, member_id, req, deadline_ms)
+        except Exception as exc:
+            self._abandon(member_id, exc)
+            reply = Reply(refusal=Refusal.FAILED, message='internal error')
         if reply.refusal is not None and reply.refusal in NOT_RUN:
             self._on_not_run(member_id, reply, work)
         answers.put((member_id, reply))
@@ -358,11 +363,12 @@
             granted = self._acquire(req, required, min(hold_ms, deadline_ms), primary=on_primary)
             if isinstance(granted, Result):
                 return granted
-            conn = self._connect(granted, req, deadline_ms)
-            if conn is None:
-                continue
-            sent_ms, epoch = self._clock.now_ms(), self.epoch
-            reply = conn.begin(not on_primary, required, self._left_ms(deadline_ms))
+            with self._release_slot_on_error(granted):
+                conn = self._connect(granted, req, deadline_ms)
+                if conn is None:
+                    continue
+                sent_ms, epoch = self._clock.now_ms(), self.epoch
+                reply = conn.begin(not on_primary, required, self._left_ms(deadline_ms))
             # BEGIN takes no slot, so its duration is no measure of the member's service time.
             self._record_result(granted, sent_ms, reply, timed=False)
             if reply.refusal is None:
--- a/godwitthread/gateway/member_group.py
+++ b/godwitthread/gateway/member_group.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import itertools
+import logging
 from typing import TYPE_CHECKING
 
 from godwitthread.core import wait_limits
@@ -16,12 +18,16 @@
 from godwitthread.loop import eventlet
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from godwitthread.clock import Clock
     from godwitthread.core.catalog import Group, Member
     from godwitthread.gateway.logs import Log
     from godwitthread.gateway.ports import Connection, Ports, PrimaryLease
     from godwitthread.types import Position
 
+logger = logging.getLogger(__name__)
+
 #: Delay after a member reported that it is busy, in ms; about the service time of a statement.
 BUSY_PAUSE_MS = 10
 #: Delay after a failed probe of the primary, in ms.
@@ -267,6 +273,22 @@
             self.dispatch_waiting()
             return None
 
+    @contextlib.contextmanager
+    def _release_slot_on_error(self, member_id: str) -> Iterator[None]:
+        """Free the slot of a statement that an unexpected error ended."""
+        try:
+            yield
+        except Exception as exc:
+            self._abandon(member_id, exc)
+            raise
+
+    def _abandon(self, member_id: str, exc: Exception) -> None:
+        logger.error('statement at %s failed', member_id, exc_info=exc)
+        state = self.dispatcher.members.get(member_id)
+        if state is not None:
+            state.record_failure(self._clock.now_ms())
+        self.dispatch_waiting()
+
     def _finish(self, member_id: str, conn: Connection, sent_ms: int, reply: Reply) -> None:
         self._record_result(member_id, sent_ms, reply)
         self._release(member_id, conn)
--- a/godwitthread/sockets.py
+++ b/godwitthread/sockets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import select
 import socket
 from typing import TYPE_CHECKING
 
@@ -22,8 +23,9 @@
 BACKLOG = 512
 
 
-# The cooperative version would yield to the event loop even with a time-out of 0.
-_original_select = patcher.original('select').select
+# The cooperative version would yield to the event loop even with a time-out of 0. The function
+# `select` refuses file descriptors from 1024 on, which a process with many sessions has.
+_original_poll = patcher.original('select').poll
 
 
 def connect(address: Address, timeout_ms: int) -> socket.socket:
@@ -69,8 +71,9 @@
     If the peer never sends unsolicited data, input on an idle connection means that the
     peer has closed it.
     """
-    readable, _, _ = _original_select([sock.fileno()], [], [], 0)
-    return not readable
+    poller = _original_poll()
+    poller.register(sock.fileno(), select.POLLIN)
+    return not poller.poll(0)
 
 
 def receive(sock: socket.socket, size: int) -> bytes:
--- a/tests/test_gateway/test_authority_manager.py
+++ b/tests/test_gateway/test_authority_manager.py
@@ -50,7 +50,8 @@
 
     def __init__(self) -> None:
         self.cut: set[frozenset[str]] = set()
-        clock = Clock()
+        self.now_s = 100.0
+        clock = Clock(self.read_clock, self.read_clock)
         peers = {name: Peer(name, Address('10.0.0.1', 1), 'd1', 1.0, 1) for name in NAMES}
         self.managers: dict[str, AuthorityManager] = {}
         self.leases = {}
@@ -70,12 +71,21 @@
             self.managers[name].update_voters(list(peers.values()))
             self.leases[name] = self.managers[name].add('orders')
 
+    def read_clock(self) -> float:
+        """Return the time of the test in s; each reading takes 1 ms."""
+        self.now_s += 0.001
+        return self.now_s
+
+    def advance(self, ms: int) -> None:
+        self.now_s += ms / 1000
+
     def isolate(self, name: str) -> None:
         self.cut.update(frozenset((name, other)) for other in NAMES if other != name)
 
 
 @pytest.fixture
-def world():
+def world(monkeypatch):
+    monkeypatch.setattr('godwitthread.gateway.authority_manager.POLL_MS', 0)
     return World()
 
 
@@ -87,22 +97,20 @@
     assert world.granted == ['orders']
 
 
-def test_an_instance_without_a_majority_orders_nothing(world, monkeypatch):
+def test_an_instance_without_a_majority_orders_nothing(world):
     """Guard against a promotion by an instance that is cut off from the others."""
-    monkeypatch.setattr('godwitthread.gateway.authority_manager.EXCLUSIVE_TIMEOUT_MS', 30)
     world.isolate('a')
     assert not world.leases['a'].acquire_exclusive('m1')
 
 
-def test_a_promotion_ends_the_authority_of_other_instances(world, monkeypatch):
+def test_a_promotion_ends_the_authority_of_other_instances(world):
     """Guard against two instances that act for one group around a handover."""
-    monkeypatch.setattr('godwitthread.core.write_authority.SHARED_LEASE_MS', 60)
     world.managers['a'].tick({'orders'})
     eventlet.sleep(0)
     assert world.leases['b'].acquire_exclusive('m1')
     assert not world.leases['a'].is_valid()
     world.leases['b'].end_exclusive('m1')
-    eventlet.sleep(0.15)
+    world.advance(1_500)
     world.managers['a'].tick({'orders'})
     eventlet.sleep(0)
     assert world.leases['a'].is_valid()
@@ -113,7 +121,7 @@
     """Guard against an order that would undo a newer promotion."""
     assert world.leases['a'].acquire_exclusive('m1')
     world.leases['a'].end_exclusive('m1')
-    eventlet.sleep(0.01)
+    eventlet.sleep(0)
     assert not world.leases['b'].acquire_exclusive('m2')
     assert world.leases['b'].succession.member == 'm1'
 
@@ -127,18 +135,17 @@
     assert not world.leases['a'].is_valid()
 
 
-def test_an_instance_that_is_gone_does_not_delay_the_leases_after_a_restart_of_all(
-    world, monkeypatch
-):
+def test_an_instance_that_is_gone_does_not_delay_the_leases_after_a_restart_of_all(world):
     """Guard against a second without writes while the list still names a removed instance."""
-    monkeypatch.setattr('godwitthread.gateway.authority_manager.REACH_MS', 50)
     world.isolate('c')
     for manager in world.managers.values():
-        manager._inbound.discard(next(s for s in manager._inbound if s.peer_name != 'b'))
+        manager._inbound.difference_update(
+            [stream for stream in manager._inbound if stream.peer_name == 'c']
+        )
     world.managers['a'].tick({'orders'})
     eventlet.sleep(0)
     assert not world.leases['a'].is_valid()
-    eventlet.sleep(0.12)
+    world.advance(500)
     world.managers['a'].tick({'orders'})
     eventlet.sleep(0)
     assert world.leases['a'].is_valid()
--- a/tests/test_gateway/test_group_runner.py
+++ b/tests/test_gateway/test_group_runner.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+
 import eventlet
 import pytest
 
@@ -290,3 +292,20 @@
     result = made.run('a', request('WRITE i y', remaining_ms=300))
     assert result.error == ErrorKind.BACKEND_UNAVAILABLE.value
     assert made.last_primary is None
+
+
+@pytest.mark.parametrize('text', ['READ i', 'WRITE i x'])
+def test_an_unexpected_error_occupies_no_slot(text):
+    """Guard against a member that gets no work after a few statements failed with an error."""
+    group = FakeGroup()
+    made = runner(group)
+
+    def fail(member, organisation):
+        raise ValueError('scripted')
+
+    for pool in made.pools.values():
+        pool._connect = fail
+    for _ in range(8):
+        with contextlib.suppress(ValueError):
+            assert made.run('a', request(text, remaining_ms=200)).error
+    assert all(state.running == 0 for state in made.dispatcher.members.values())
