Keep reading tables after a malformed answer of a peer or an unexpected error

Cause, found by reading for the operators' fault 'one malformed message took a process down': the thread that asks peers for tables, and the one that watches a table in the store, ended with any error but a ProxyError; the instance then kept its configuration for good. Change: both log the error and go on.

--- a/godwitthread/gateway/peer_sync.py
+++ b/godwitthread/gateway/peer_sync.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import random
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -19,6 +20,8 @@
     from godwitthread.gateway.logs import Log
     from godwitthread.gateway.store_view import StoreView
 
+logger = logging.getLogger(__name__)
+
 #: Time limit of a synchronization call, beyond the time that the peer may wait, in ms.
 CALL_TIMEOUT_MS = 300
 #: Time for which a peer may hold a request open until it has changes, in ms. The next request
@@ -104,9 +107,15 @@
         request = ViewRequest(self._view.revisions(), wait_ms)
         try:
             body = link.call('view', request, wait_ms + CALL_TIMEOUT_MS)
-        except ProxyError as exc:
-            self._log.failure('peer_lost', peer=link.peer.name, reason=exc.message)
+            tables = _answers.decode(body).tables
+        except (ProxyError, msgspec.DecodeError) as exc:
+            self._log.failure('peer_lost', peer=link.peer.name, reason=str(exc))
             return False
-        for snapshot in _answers.decode(body).tables:
-            self._view.replace_from(snapshot)
+        for snapshot in tables:
+            try:
+                self._view.replace_from(snapshot)
+            except Exception:
+                # The thread must go on: without it, this instance would keep an old configuration.
+                logger.exception('table %s from %s not adopted', snapshot.table, link.peer.name)
+                return False
         return True
--- a/godwitthread/gateway/store_watcher.py
+++ b/godwitthread/gateway/store_watcher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import random
 from typing import TYPE_CHECKING
 
@@ -17,6 +18,8 @@
     from godwitthread.gateway.store_health import StoreHealth
     from godwitthread.gateway.store_view import StoreView
 
+logger = logging.getLogger(__name__)
+
 #: Maximum wait for a change, in ms; the store allows 30 s. Keep-alive probes detect a dead
 #: connection earlier.
 MAX_CHANGE_WAIT_MS = 25_000
@@ -80,6 +83,12 @@
                 if not isinstance(exc, StoreUnreachableError):
                     self._retry_ms = min(MAX_RETRY_MS, 2 * self._retry_ms)
                 continue
+            except Exception:
+                # The thread must go on: without it, this instance would keep an old configuration.
+                logger.exception('table %s not adopted', self.table)
+                self._loaded = False
+                self._pause()
+                continue
             self._set_healthy(True, '')
             self._retry_ms = RETRY_MS
             eventlet.sleep(self._min_interval_ms / 1000)
--- a/tests/test_gateway/test_store_watcher.py
+++ b/tests/test_gateway/test_store_watcher.py
@@ -94,3 +94,18 @@
     watcher._retry_ms = 40
     eventlet.sleep(0.8)
     assert store.calls >= 15
+
+
+def test_an_unexpected_error_does_not_end_the_watching(watch):
+    """Guard against an instance that keeps an old configuration after one error."""
+    store = FakeStore()
+    store.error = ValueError('scripted')
+    watcher = watch('servers', store)
+    watcher._retry_ms = 1
+    eventlet.sleep(0.05)
+    store.error = None
+    for _ in range(200):
+        eventlet.sleep(0.01)
+        if watcher._loaded:
+            break
+    assert watcher._loaded
