--- a/godwitthread/gateway/authority_manager.py
+++ b/godwitthread/gateway/authority_manager.py
@@ -207,7 +207,7 @@
         return link is not None and link.reach().refused
 
     def _is_settled(self) -> bool:
-        """Return whether each candidate has a link to this process, or can't be reached.
+        """Return whether each candidate has a link to this process, or no leases.
 
         An instance relies on the leases of a voter only until its link to the voter has ended.
         """
@@ -217,7 +217,11 @@
 
         def is_settled(name: str) -> bool:
             link = self._links.get(name)
-            return link is not None and (link.reach().refused or (waited and not link.up))
+            if link is None:
+                return False
+            reach = link.reach()
+            # An instance that never became ready since its start holds no leases.
+            return reach.refused or (not reach.ready if reach.up else waited)
 
         return bool(others) and all(name in linked or is_settled(name) for name in others)
 
--- a/tests/test_gateway/test_authority_manager.py
+++ b/tests/test_gateway/test_authority_manager.py
@@ -35,7 +35,7 @@
         return frozenset((self._sender, self._receiver)) not in self._world.cut
 
     def reach(self):
-        return PeerReachability(self.up)
+        return PeerReachability(self.up, ready=self._receiver not in self._world.not_ready)
 
     def call(self, kind, body, timeout_ms):
         if not self.up:
@@ -50,6 +50,8 @@
 
     def __init__(self) -> None:
         self.cut: set[frozenset[str]] = set()
+        #: Instances that have not become ready since their start.
+        self.not_ready: set[str] = set()
         self.now_s = 100.0
         clock = Clock(self.read_clock, self.read_clock)
         peers = {name: Peer(name, Address('10.0.0.1', 1), 'd1', 1.0, 1) for name in NAMES}
@@ -79,6 +81,12 @@
     def advance(self, ms: int) -> None:
         self.now_s += ms / 1000
 
+    def forget_links_of(self, name: str) -> None:
+        for manager in self.managers.values():
+            manager._inbound.difference_update(
+                [stream for stream in manager._inbound if stream.peer_name == name]
+            )
+
     def isolate(self, name: str) -> None:
         self.cut.update(frozenset((name, other)) for other in NAMES if other != name)
 
@@ -138,10 +146,7 @@
 def test_an_instance_that_is_gone_does_not_delay_the_leases_after_a_restart_of_all(world):
     """Guard against a second without writes while the list still names a removed instance."""
     world.isolate('c')
-    for manager in world.managers.values():
-        manager._inbound.difference_update(
-            [stream for stream in manager._inbound if stream.peer_name == 'c']
-        )
+    world.forget_links_of('c')
     world.managers['a'].tick({'orders'})
     eventlet.sleep(0)
     assert not world.leases['a'].is_valid()
@@ -149,3 +154,16 @@
     world.managers['a'].tick({'orders'})
     eventlet.sleep(0)
     assert world.leases['a'].is_valid()
+
+
+def test_an_instance_that_the_store_refuses_does_not_delay_the_leases_after_a_restart_of_all(world):
+    """Guard against a second without writes while some instances know no others yet."""
+    world.forget_links_of('c')
+    world.managers['a'].tick({'orders'})
+    eventlet.sleep(0)
+    assert not world.leases['a'].is_valid()
+    world.not_ready.add('c')
+    world.advance(100)
+    world.managers['a'].tick({'orders'})
+    eventlet.sleep(0)
+    assert world.leases['a'].is_valid()
