Take no proof of a position from a former primary after a promotion is known

By the log of the replay: when the split ended at 13.2 s the former primary i-eaad980ebc renewed its claim in the store, and instances that had not followed the promotion made it their primary. One of them, front-huanchaco-1, became the owner at 13.70 s, probed it, learned of the promotion at 13.75 s, and took the answer of the probe as proof; a read at 13.81 s then ran at the former primary. Change: an answer proves a position only in the epoch in which it was asked for and only once the newest known promotion is followed; after a confirmed promotion, claims of other members are ignored. Measured: both tests fail without the change.

--- a/godwitthread/gateway/group_runner.py
+++ b/godwitthread/gateway/group_runner.py
@@ -171,7 +171,7 @@
             if reply.refusal is None:
                 if not self.may_acknowledge(epoch):
                     return failure(ErrorKind.CONNECTION_LOST, UNCONFIRMED)
-                self._record_evidence(granted, sent_ms, reply)
+                self._record_evidence(granted, sent_ms, epoch, reply)
                 return _success(reply)
             if reply.refusal in NOT_RUN:
                 self._on_not_run(granted, reply)
@@ -282,7 +282,7 @@
             # primary answers plain reads as a replica.
             reply = conn.begin(False, None, self._left_ms(deadline_ms))
             if reply.refusal is None:
-                self._record_evidence(member_id, sent_ms, reply)
+                self._record_evidence(member_id, sent_ms, epoch, reply)
                 reply = self._statement(conn, req, deadline_ms, None)
                 if not conn.closed:
                     conn.rollback(INTERNAL_TIMEOUT_MS)
@@ -318,7 +318,7 @@
         if reply.refusal is not None:
             return self._fail_transaction(key, tx, reply, commit)
         if tx.on_primary:
-            self._record_evidence(tx.member, sent_ms, reply)
+            self._record_evidence(tx.member, sent_ms, tx.epoch, reply)
         if commit:
             self._end_transaction(key, tx, clean=True, ended=True)
         return _success(reply)._replace(ended=commit)
@@ -373,7 +373,7 @@
             self._record_result(granted, sent_ms, reply, timed=False)
             if reply.refusal is None:
                 if on_primary:
-                    self._record_evidence(granted, sent_ms, reply)
+                    self._record_evidence(granted, sent_ms, epoch, reply)
                 return OpenTransaction(conn, granted, on_primary, epoch)
             self._release(granted, conn)
             self._on_not_run(granted, reply)
--- a/godwitthread/gateway/member_group.py
+++ b/godwitthread/gateway/member_group.py
@@ -140,7 +140,8 @@
 
     def may_acknowledge(self, epoch: int) -> bool:
         """Return whether the primary was certainly not replaced since work of an epoch was sent."""
-        return epoch == self.epoch and self.lease.is_valid()
+        followed = self.lease.succession <= self._followed
+        return followed and epoch == self.epoch and self.lease.is_valid()
 
     def refresh_primary(self) -> None:
         """Give work to the primary only while this instance has the authority to use it."""
@@ -166,7 +167,7 @@
         organisation = self.any_organisation()
         if pool is None or state is None or organisation is None:
             return False
-        sent_ms = self._clock.now_ms()
+        sent_ms, epoch = self._clock.now_ms(), self.epoch
         try:
             conn = pool.acquire(organisation, {}, INTERNAL_TIMEOUT_MS)
         except NotConnectedError as exc:
@@ -176,7 +177,7 @@
         if reply.refusal is not Refusal.LOST:
             state.record_contact(self._clock.now_ms())
         if reply.refusal is None:
-            self._record_evidence(member_id, sent_ms, reply)
+            self._record_evidence(member_id, sent_ms, epoch, reply)
             conn.rollback(INTERNAL_TIMEOUT_MS)
         self._release(member_id, conn)
         return reply.refusal is None
@@ -325,9 +326,13 @@
             state.paused_until_ms = now_ms + BUSY_PAUSE_MS
         self.dispatch_waiting()
 
-    def _record_evidence(self, member_id: str, sent_ms: int, reply: Reply) -> None:
-        ordered = self._successor not in (None, member_id)
-        if reply.position is not None and not ordered and self.lease.is_valid():
+    def _record_evidence(self, member_id: str, sent_ms: int, epoch: int, reply: Reply) -> None:
+        if self._successor is not None:
+            proven = member_id == self._successor and epoch == self.epoch and self.lease.is_valid()
+        else:
+            # A probe may be answered by a former primary after a promotion became known.
+            proven = member_id == self.last_primary and self.may_acknowledge(epoch)
+        if proven and reply.position is not None:
             self.evidence.record(sent_ms, reply.position)
 
     def _required(self, req: RunRequest) -> Position | None:
@@ -348,6 +353,9 @@
             for member in self.members.values()
             if member.primary and member.id not in self._invalid_claims
         ]
+        if self._followed.confirmed and self._followed.member in self.members:
+            # A former primary that does not know of its replacement renews its claim.
+            claims = [each for each in claims if each == self._followed.member]
         for member in self.members.values():
             if not member.primary:
                 # The entry names a replica, so a later claim of this member is a new one.
--- a/tests/test_gateway/test_group_runner.py
+++ b/tests/test_gateway/test_group_runner.py
@@ -11,6 +11,7 @@
 from godwitthread.core.write_authority import Succession
 from godwitthread.errors import ErrorKind
 from godwitthread.gateway import group_runner
+from godwitthread.types import Position
 from tests.test_gateway.fakes import (
     GROUP,
     FakeConnection,
@@ -309,3 +310,42 @@
         with contextlib.suppress(ValueError):
             assert made.run('a', request(text, remaining_ms=200)).error
     assert all(state.running == 0 for state in made.dispatcher.members.values())
+
+
+def test_a_probe_of_a_former_primary_proves_nothing_once_a_promotion_is_known(monkeypatch):
+    """Guard against stale reads after a handover (madermar-lima trouble-1, seed 583051486341)."""
+    group = FakeGroup()
+    made = runner(group)
+    made.run('a', request('WRITE i x'))
+    group.unaware.add('m0')
+    group.promote('m1')
+    known = made.evidence.newest
+    begin = FakeConnection.begin
+
+    def learn_of_promotion(self, read_only, after, timeout_ms):
+        made.lease.succession = Succession(1, True, 'm1')
+        return begin(self, read_only, after, timeout_ms)
+
+    monkeypatch.setattr(FakeConnection, 'begin', learn_of_promotion)
+    group.applied['m0'] = Position(1, 99)
+    assert made.confirm_primary('m0')
+    assert made.evidence.newest == known
+
+
+def test_a_former_primary_that_renews_its_claim_gets_no_work():
+    """Guard against a former primary that returns when its partition ends."""
+    group = FakeGroup()
+    made = runner(group)
+    made.lease.succession = Succession(1, True, 'm1')
+    group.unaware.add('m0')
+    group.promote('m1')
+    made.run('a', request('WRITE i x'))
+    entries = members(group)
+    entries['m0'] = entries['m0']._replace(primary=True, revision=9)
+    entries['m1'] = entries['m1']._replace(primary=False)
+    made.update(GROUP, entries, set(), 3_000)
+    entries['m0'] = entries['m0']._replace(primary=False)
+    made.update(GROUP, entries, set(), 3_000)
+    entries['m0'] = entries['m0']._replace(primary=True)
+    made.update(GROUP, entries, set(), 3_000)
+    assert made.last_primary == 'm1'
