Move the decisions on settled and absent voters into the core

Cause: which voters count and when a restarted voter may grant were decided in gateway/authority_manager, beside the requests; acquiring an exclusive lease stood on two levels.

--- a/godwitthread/core/write_authority.py
+++ b/godwitthread/core/write_authority.py
@@ -16,7 +16,9 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection, Iterable
+    from collections.abc import Callable, Collection, Iterable, Mapping
+
+    from godwitthread.core.ownership import PeerReachability
 
 #: Number of voters. It is fixed, so that the cost of leases does not grow with the deployment.
 MAX_VOTERS = 9
@@ -28,6 +30,9 @@
 RENEWAL_MS = 250
 #: Interval of requests while a lease is missing, in ms.
 RETRY_MS = 100
+#: Time after its start in which the links of an instance to all that it can reach are up, in ms. An
+#: instance that is gone for good would otherwise delay the first leases after a restart of all.
+REACH_MS = 500
 #: Time for which a replaced set of voters must agree as well, in ms. Lists of instances differ
 #: between the instances for up to 2 s.
 VOTER_CHANGE_MS = 2_000
@@ -120,6 +125,28 @@
             votes.exclusive_holder = ''
 
 
+def is_settled(
+    others: Collection[str],
+    linked: Collection[str],
+    reach: Mapping[str, PeerReachability],
+    since_start_ms: int,
+) -> bool:
+    """Return whether none of the other candidates relies on a lease from before a restart.
+
+    An instance relies on the leases of a voter only until its link to the voter has ended, and
+    one that never became ready since its start holds none. Answers the load pattern of a restart
+    of all instances, some of which are gone or know no others yet.
+    """
+
+    def holds_none(name: str) -> bool:
+        peer = reach.get(name)
+        if peer is None:
+            return False
+        return peer.refused or (not peer.ready if peer.up else since_start_ms >= REACH_MS)
+
+    return bool(others) and all(name in linked or holds_none(name) for name in others)
+
+
 class VoterSets:
     """Track the current voters, and the replaced ones that must agree for a while."""
 
@@ -127,6 +154,8 @@
         self._current: frozenset[str] = frozenset()
         #: Replaced sets with the end of the time in which they must agree, in ms.
         self._former: list[tuple[frozenset[str], int]] = []
+        #: Time since which no process of a voter runs, in ms.
+        self._refused_since_ms: dict[str, int] = {}
         #: Voters without a running process for longer than any lease.
         self._absent: frozenset[str] = frozenset()
 
@@ -135,22 +164,26 @@
         """Return the voters to ask, including the replaced ones that must still agree."""
         return self._current.union(*(names for names, _ in self._former))
 
-    def update(self, now_ms: int, names: Iterable[str], absent: Iterable[str]) -> None:
-        """Replace the voters."""
+    def update(self, now_ms: int, names: Iterable[str], refused: Collection[str]) -> None:
+        """Set the voters, and those whose address shows that no process runs."""
         chosen = frozenset(names)
         self._former = [each for each in self._former if each[1] > now_ms]
         if chosen != self._current:
             if self._current:
                 self._former.append((self._current, now_ms + VOTER_CHANGE_MS))
             self._current = chosen
-        self._absent = frozenset(absent)
+        since_ms = self._refused_since_ms
+        self._refused_since_ms = {name: since_ms.get(name, now_ms) for name in refused}
+        self._absent = frozenset(
+            name
+            for name, start_ms in self._refused_since_ms.items()
+            if now_ms - start_ms >= EXCLUSIVE_LEASE_MS
+        )
 
     def is_majority(self, names: Collection[str]) -> bool:
         """Return whether the given voters are a majority of each set that must agree."""
         sets = [self._current, *(former for former, _ in self._former)]
-        return all(
-            2 * len(each.intersection(names)) > len(each - self._absent) for each in sets
-        ) and bool(self._current)
+        return all(2 * len(each.intersection(names)) > len(each - self._absent) for each in sets)
 
 
 class _Granted(NamedTuple):
@@ -180,12 +213,17 @@
         number = next(self._numbers)
         return Claim(self.group, lease_ms, self._exclusive, self.succession, number)
 
-    def set_exclusive(self, exclusive: bool) -> None:
-        """Choose the kind of lease; grants of exclusive leases do not outlast the change."""
-        self._exclusive = exclusive
-        self._first_number = next(self._numbers)
-        for voter, each in self._granted.items():
-            self._granted[voter] = each._replace(exclusive=False)
+    def begin_exclusive(self, member: str) -> Succession:
+        """Request exclusive leases to promote a member; return the announced promotion."""
+        self._set_exclusive(True)
+        self.succession = Succession(self.succession.number + 1, False, member)
+        return self.succession
+
+    def end_exclusive(self, primary: str | None = None) -> None:
+        """Request shared leases again, and name the primary that the promotion resulted in."""
+        self._set_exclusive(False)
+        if primary is not None:
+            self.succession = Succession(self.succession.number, True, primary)
 
     def record(
         self, sent_ms: int, now_ms: int, voter: str, claim: Claim, grant: LeaseGrant
@@ -217,3 +255,10 @@
             if each.exclusive and each.end_ms > now_ms and each.alone_ms <= now_ms
         ]
         return self._voters.is_majority(held)
+
+    def _set_exclusive(self, exclusive: bool) -> None:
+        # Grants of exclusive leases do not outlast a change of the kind of lease.
+        self._exclusive = exclusive
+        self._first_number = next(self._numbers)
+        for voter, each in self._granted.items():
+            self._granted[voter] = each._replace(exclusive=False)
--- a/godwitthread/gateway/authority_manager.py
+++ b/godwitthread/gateway/authority_manager.py
@@ -7,7 +7,6 @@
 import msgspec
 
 from godwitthread.core.write_authority import (
-    EXCLUSIVE_LEASE_MS,
     MAX_VOTERS,
     RENEWAL_MS,
     RETRY_MS,
@@ -18,6 +17,7 @@
     Voter,
     VoterSets,
     WriteAuthority,
+    is_settled,
 )
 from godwitthread.errors import ProxyError
 from godwitthread.loop import eventlet
@@ -34,9 +34,6 @@
 CLAIM_TIMEOUT_MS = 500
 #: Time in which an exclusive lease must be complete, in ms: the leases of others, and two renewals.
 EXCLUSIVE_TIMEOUT_MS = SHARED_LEASE_MS + 2 * RENEWAL_MS
-#: Time after the start in which the links to all reachable instances are established, in ms. An
-#: instance that is gone for good would otherwise delay the first leases after a restart of all.
-REACH_MS = 500
 #: Poll interval of an exclusive lease that is being acquired, in ms.
 POLL_MS = 5
 
@@ -78,22 +75,22 @@
 
         Return False if that could not be achieved in time; no promotion may be ordered then.
         """
-        announced = Succession(self._authority.succession.number + 1, False, member)
-        self._authority.succession = announced
-        if not self._manager.acquire_exclusive(self._authority):
-            return False
-        if self._authority.succession != announced:
-            # The voters know a newer promotion, which must be followed first.
-            self._manager.end_exclusive(self._authority)
-            return False
-        return True
+        held = self._authority
+        announced = held.begin_exclusive(member)
+        end_ms = self._clock.now_ms() + EXCLUSIVE_TIMEOUT_MS
+        self._manager.send([held.claim()])
+        while not held.is_exclusive(self._clock.now_ms()) and self._clock.now_ms() < end_ms:
+            eventlet.sleep(POLL_MS / 1000)
+        # A newer promotion that the voters know must be followed first.
+        if held.is_exclusive(self._clock.now_ms()) and held.succession == announced:
+            return True
+        self.end_exclusive(None)
+        return False
 
     def end_exclusive(self, primary: str | None) -> None:
         """Let other instances use the primary again; None if the order may still take effect."""
-        if primary is not None:
-            number = self._authority.succession.number
-            self._authority.succession = Succession(number, True, primary)
-        self._manager.end_exclusive(self._authority)
+        self._authority.end_exclusive(primary)
+        self._manager.send([self._authority.claim()])
 
 
 class AuthorityManager:
@@ -125,8 +122,6 @@
         self._voter = Voter(clock.now_ms(), self._has_ended, self._is_settled)
         self._voters = VoterSets()
         self._groups: dict[str, WriteAuthority] = {}
-        #: Time since which the address of a voter refuses connections, in ms.
-        self._refused_since_ms: dict[str, int] = {}
         self._renewed_ms = 0
         self._renewed_groups: set[str] = set()
 
@@ -140,22 +135,13 @@
         self._groups.pop(group, None)
 
     def update_voters(self, candidates: Sequence[Peer]) -> None:
-        """Choose the voters; those whose process ended longer ago than any lease do not count."""
-        now_ms = self._clock.now_ms()
+        """Make the first candidates the voters."""
         chosen = [peer.name for peer in candidates[:MAX_VOTERS]]
         self._candidates = {peer.name for peer in candidates}
-        for name in chosen:
-            link = self._links.get(name)
-            if link is not None and link.reach().refused:
-                self._refused_since_ms.setdefault(name, now_ms)
-            else:
-                self._refused_since_ms.pop(name, None)
-        absent = [
-            name
-            for name, since_ms in self._refused_since_ms.items()
-            if now_ms - since_ms >= EXCLUSIVE_LEASE_MS
+        refused = [
+            name for name in chosen if name in self._links and self._links[name].reach().refused
         ]
-        self._voters.update(now_ms, chosen, absent)
+        self._voters.update(self._clock.now_ms(), chosen, refused)
 
     def tick(self, groups: Iterable[str]) -> None:
         """Renew the leases on the primaries of the groups that this instance works on."""
@@ -167,29 +153,22 @@
             return
         self._renewed_ms, self._renewed_groups = now_ms, wanted
         if wanted:
-            self._send([self._groups[name].claim() for name in sorted(wanted)])
+            self.send([self._groups[name].claim() for name in sorted(wanted)])
 
     def drop_voter(self, name: str) -> None:
         """Rely no longer on a voter whose link has ended."""
         for held in self._groups.values():
             held.drop_voter(name)
 
-    def acquire_exclusive(self, held: WriteAuthority) -> bool:
-        """Wait until no other instance may use the primary of a group; return False on failure."""
-        held.set_exclusive(True)
-        end_ms = self._clock.now_ms() + EXCLUSIVE_TIMEOUT_MS
-        self._send([held.claim()])
-        while not held.is_exclusive(self._clock.now_ms()):
-            if self._clock.now_ms() >= end_ms:
-                self.end_exclusive(held)
-                return False
-            eventlet.sleep(POLL_MS / 1000)
-        return True
-
-    def end_exclusive(self, held: WriteAuthority) -> None:
-        """Let other instances use the primary of a group again."""
-        held.set_exclusive(False)
-        self._send([held.claim()])
+    def send(self, claims: list[Claim]) -> None:
+        """Send claims to the voters; their answers are recorded as they arrive."""
+        request = ClaimRequest(tuple(claims))
+        for name in self._voters.names:
+            if name == self._name:
+                answer = self.answer(self._holder, request)
+                self._record(self._clock.now_ms(), name, request, answer)
+            elif name in self._links and self._links[name].up:
+                eventlet.spawn_n(self._ask, name, request)
 
     def answer(self, holder: str, request: ClaimRequest) -> ClaimAnswer:
         """Vote on the claims of an instance."""
@@ -207,32 +186,10 @@
         return link is not None and link.reach().refused
 
     def _is_settled(self) -> bool:
-        """Return whether each candidate has a link to this process, or no leases.
-
-        An instance relies on the leases of a voter only until its link to the voter has ended.
-        """
         linked = {stream.peer_name for stream in self._inbound}
         others = self._candidates - {self._name}
-        waited = self._clock.now_ms() - self._started_ms >= REACH_MS
-
-        def is_settled(name: str) -> bool:
-            link = self._links.get(name)
-            if link is None:
-                return False
-            reach = link.reach()
-            # An instance that never became ready since its start holds no leases.
-            return reach.refused or (not reach.ready if reach.up else waited)
-
-        return bool(others) and all(name in linked or is_settled(name) for name in others)
-
-    def _send(self, claims: list[Claim]) -> None:
-        request = ClaimRequest(tuple(claims))
-        for name in self._voters.names:
-            if name == self._name:
-                answer = self.answer(self._holder, request)
-                self._record(self._clock.now_ms(), name, request, answer)
-            elif name in self._links and self._links[name].up:
-                eventlet.spawn_n(self._ask, name, request)
+        reach = {name: self._links[name].reach() for name in others & self._links.keys()}
+        return is_settled(others, linked, reach, self._clock.now_ms() - self._started_ms)
 
     def _ask(self, name: str, request: ClaimRequest) -> None:
         sent_ms = self._clock.now_ms()
--- a/tests/test_gateway/test_write_authority.py
+++ b/tests/test_gateway/test_write_authority.py
@@ -71,7 +71,7 @@
     """Guard against a write that another instance acknowledges after the promotion."""
     world = Deployment()
     other = world.ask(READY_MS, 'a', NAMES)
-    world.holder('b').set_exclusive(True)
+    world.holder('b').begin_exclusive('m1')
     held = world.ask(READY_MS + 100, 'b', NAMES)
     assert not held.is_exclusive(READY_MS + 100)
     world.ask(READY_MS + 200, 'a', NAMES)
@@ -86,7 +86,7 @@
     world = Deployment()
     world.ask(READY_MS, 'a', NAMES)
     world.ended.add('a')
-    world.holder('b').set_exclusive(True)
+    world.holder('b').begin_exclusive('m1')
     assert world.ask(READY_MS + 1, 'b', NAMES).is_exclusive(READY_MS + 1)
 
 
@@ -95,7 +95,7 @@
     world = Deployment()
     world.ask(READY_MS, 'a', NAMES)
     world.voters = {name: Voter(READY_MS + 10, lambda _: False, lambda: False) for name in NAMES}
-    world.holder('b').set_exclusive(True)
+    world.holder('b').begin_exclusive('m1')
     assert not world.ask(READY_MS + 20, 'b', NAMES).is_exclusive(READY_MS + 20)
 
 
@@ -117,8 +117,7 @@
     """Guard against an instance that goes on with the former primary after a handover."""
     world = Deployment()
     held = world.holder('a')
-    held.set_exclusive(True)
-    held.succession = Succession(1, False, 'm1')
+    held.begin_exclusive('m1')
     world.ask(READY_MS, 'a', NAMES[:3])
     later_ms = READY_MS + EXCLUSIVE_LEASE_MS
     assert world.ask(later_ms, 'b', NAMES[2:]).succession == Succession(1, False, 'm1')
@@ -139,6 +138,8 @@
     """Guard against writes that stop for good once most of the voters are gone."""
     sets = VoterSets()
     sets.update(0, NAMES, ['v0', 'v1', 'v2'])
+    assert not sets.is_majority(['v3', 'v4'])
+    sets.update(EXCLUSIVE_LEASE_MS, NAMES, ['v0', 'v1', 'v2'])
     assert sets.is_majority(['v3', 'v4'])
     assert not sets.is_majority(['v3'])
 
@@ -154,7 +155,7 @@
         for name in ('a', 'b', 'c'):
             held = world.holder(name)
             if draw.random() < 0.005:
-                held.set_exclusive(draw.random() < 0.4)
+                held.begin_exclusive('m1') if draw.random() < 0.4 else held.end_exclusive()
             if draw.random() < 0.1:
                 claim = held.claim()
                 for voter in draw.sample(NAMES, draw.randint(2, 5)):
--- a/tests/test_platform/world.py
+++ b/tests/test_platform/world.py
@@ -483,9 +483,7 @@
     """Run the seeds given on the command line."""
     parser = argparse.ArgumentParser(prog='python -m tests.test_platform.world')
     parser.add_argument('--seed', type=int, default=1)
-    parser.add_argument(
-        '--seeds', type=int, default=1, help='number of consecutive seeds, starting with --seed'
-    )
+    parser.add_argument('--seeds', type=int, default=1, help='number of consecutive seeds')
     parser.add_argument('--seconds', type=int, default=15)
     parser.add_argument('--instances', type=int, default=5)
     parser.add_argument('--groups', type=int, default=2)
