--- a/godwitthread/gateway/links.py
+++ b/godwitthread/gateway/links.py
@@ -98,9 +98,15 @@
         self._buffer = b''
         self._thread = eventlet.spawn(self._write)
         self.closed = False
+        self._sending = False
         #: Name of the peer at the other end, '' until it identified itself.
         self.peer_name = ''
 
+    @property
+    def unsent(self) -> bool:
+        """Return whether frames wait to be sent."""
+        return not self.closed and (self._sending or bool(self._queue))
+
     def send(self, call_id: int, kind: str, body: Any) -> None:
         """Queue a frame for sending."""
         self.send_raw(_encoder.encode((call_id, kind, body)))
@@ -149,11 +155,13 @@
                 self._wake.wait()
                 continue
             data, self._queue = b''.join(self._queue), []
+            self._sending = True
             try:
                 self._sock.sendall(data)
             except OSError as exc:
                 logger.debug('sending frames failed: %s', exc)
                 self.close()
+            self._sending = False
 
 
 class Link:
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -121,6 +121,7 @@
         self._eviction = PeerEviction(clock, ports, log, self.view.row_revision)
         self._ownerless_since_ms: dict[str, int] = {}
         self._hello = Hello(peer.name, peer.incarnation)
+        self._peer_statements = 0
 
     # Life cycle
 
@@ -178,6 +179,10 @@
         """Return whether any group has open statements or transactions at this instance."""
         return any(runner.has_open_work() for runner in self.runners.values())
 
+    def open_calls(self) -> int:
+        """Return the number of peers' statements that run here, and of streams with unsent data."""
+        return self._peer_statements + sum(stream.unsent for stream in self.inbound)
+
     # Statements
 
     def run(self, req: RunRequest, holder: str | None) -> tuple[Result, str | None]:
@@ -260,7 +265,11 @@
     def handle(self, sender: str, kind: str, body: msgspec.Raw) -> Any:
         """Answer a call of a peer; raise ProxyError."""
         if kind == 'run':
-            return self._run_here(sender, _run_requests.decode(body))
+            self._peer_statements += 1
+            try:
+                return self._run_here(sender, _run_requests.decode(body))
+            finally:
+                self._peer_statements -= 1
         if kind == 'grant':
             return self._grant(_grant_requests.decode(body))
         if kind == 'order':
--- a/godwitthread/gateway/sessions.py
+++ b/godwitthread/gateway/sessions.py
@@ -101,6 +101,10 @@
         """Return the number of sessions with an unanswered statement or an open transaction."""
         return sum(session.busy for session in self._open.values())
 
+    def unanswered(self) -> int:
+        """Return the number of sessions with an unanswered statement."""
+        return sum(session.running for session in self._open.values())
+
 
 class Session:
     """Session of one caller connection."""
@@ -115,7 +119,10 @@
         self._prepared: dict[str, Prepared] = {}
         self._seen: Position | None = None
         self._disconnect: Callable[[], None] | None = None
-        self._running = False
+        #: Whether a statement is unanswered.
+        self.running = False
+        #: Whether this instance closed the connection.
+        self.closed = False
         # Current operation: its route and organisation, the instance that holds the transaction
         # once a statement has run, and the time spent so far.
         self._route: Route | None = None
@@ -129,7 +136,7 @@
     @property
     def busy(self) -> bool:
         """Return whether a statement is unanswered or a transaction open."""
-        return self._running or self.state is not TxState.IDLE
+        return self.running or self.state is not TxState.IDLE
 
     @property
     def ending(self) -> bool:
@@ -143,6 +150,7 @@
     def close_if_idle(self) -> None:
         """Close the connection unless the session is busy."""
         if not self.busy and self._disconnect is not None:
+            self.closed = True
             self._disconnect()
 
     def close(self) -> None:
@@ -153,7 +161,19 @@
 
     def mark_answered(self) -> None:
         """Record that the answer to the last statement was sent."""
-        self._running = False
+        self.running = False
+
+    def report_undelivered(self, statement: Statement | None, result: Result) -> None:
+        """Log an answer that could not be sent."""
+        self._sessions.log.failure(
+            'answer_not_delivered',
+            request=statement.id if statement else '',
+            session=self.number,
+            database=self._database,
+            outcome=result.error or 'done',
+            executed=result.receipt != _NO_RESULT.receipt,
+            closed_by='instance' if self.closed else 'caller',
+        )
 
     def malformed(self) -> Result:
         """Return the answer to a malformed message, or to a statement that is invalid here."""
@@ -161,7 +181,7 @@
 
     def run(self, statement: Statement) -> Result:
         """Run one statement and return its result."""
-        self._running = True
+        self.running = True
         verb = statement.verb
         started_ms = self._sessions.clock.now_ms()
         if verb is Verb.ROLLBACK or (verb is Verb.COMMIT and self.state is TxState.FAILED):
--- a/godwitthread/platform/caller_connection.py
+++ b/godwitthread/platform/caller_connection.py
@@ -99,7 +99,11 @@
         lines = [f'ROW {row}' for row in result.rows]
         lines.append(_format_error(result) if result.error else f'DONE {result.receipt}')
         lines.append(ready(session.state, result.position))
-        sock.sendall(encode(*lines))
+        try:
+            sock.sendall(encode(*lines))
+        except OSError:
+            session.report_undelivered(statement, result)
+            raise
         session.mark_answered()
 
 
--- a/godwitthread/platform/gateway_process.py
+++ b/godwitthread/platform/gateway_process.py
@@ -106,7 +106,12 @@
         self._serve_sockets(settings.caller_address, self._serve_caller)
         self._stop_requested.wait()
         self._drain()
-        self._log.event('instance_stopped', sessions=len(node.sessions))
+        self._log.event(
+            'instance_stopped',
+            sessions=len(node.sessions),
+            unanswered=node.sessions.unanswered(),
+            peer_calls=node.open_calls(),
+        )
         sys.stdout.flush()
         os._exit(0)
 
