Answer requests that arrive just before an idle session is closed

Around a planned stop, and while an instance reached no majority, a caller could send a write that was executed and lose the connection in place of the answer.

Cause: an idle session was closed by shutting its socket down, while the green thread that reads it had not seen a request in the socket buffer. It read the request afterwards, had it executed, and could not send the answer. A second request that was read together with the first one was dropped in the same way.

A session with input in the socket or in the reader now counts as busy: it is not closed, and the process does not end, before the request is answered. Nothing is read any more once the connection is shut down, so that a request arriving in between is not executed.

--- a/godwitthread/gateway/sessions.py
+++ b/godwitthread/gateway/sessions.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import itertools
-from typing import TYPE_CHECKING
+from collections.abc import Callable
+from typing import TYPE_CHECKING, NamedTuple
 
 from godwitthread.core.statements import (
     Action,
@@ -18,8 +19,6 @@
 from godwitthread.errors import ErrorKind
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from godwitthread.clock import Clock
     from godwitthread.core.catalog import Configuration, Organisation, Route
     from godwitthread.core.statements import Statement
@@ -36,6 +35,15 @@
 _NO_RESULT = Result()
 
 
+class CallerPort(NamedTuple):
+    """Operations on the connection of a session."""
+
+    #: Closes the connection.
+    close: Callable[[], None]
+    #: Returns whether a request, or a part of one, was received and not read yet.
+    has_input: Callable[[], bool]
+
+
 class Sessions:
     """Open caller sessions, and end them when the process stops."""
 
@@ -98,7 +106,7 @@
             session.close_if_idle()
 
     def busy(self) -> int:
-        """Return the number of sessions with an unanswered statement or an open transaction."""
+        """Return the number of sessions with unfinished work: see `Session.busy`."""
         return sum(session.busy for session in self._open.values())
 
     def unanswered(self) -> int:
@@ -118,7 +126,7 @@
         self._values: dict[str, str] = {}
         self._prepared: dict[str, Prepared] = {}
         self._seen: Position | None = None
-        self._disconnect: Callable[[], None] | None = None
+        self._port: CallerPort | None = None
         #: Whether a statement is unanswered.
         self.running = False
         #: Whether this instance closed the connection.
@@ -135,23 +143,25 @@
 
     @property
     def busy(self) -> bool:
-        """Return whether a statement is unanswered or a transaction open."""
-        return self.running or self.state is not TxState.IDLE
+        """Return whether a request is unread or unanswered, or a transaction is open."""
+        if self.running or self.state is not TxState.IDLE:
+            return True
+        return self._port is not None and not self.closed and self._port.has_input()
 
     @property
     def ending(self) -> bool:
         """Return whether the session should end before the next statement."""
         return self._sessions.ending and not self.busy
 
-    def attach(self, disconnect: Callable[[], None]) -> None:
-        """Set the function that closes the connection of the session."""
-        self._disconnect = disconnect
+    def attach(self, port: CallerPort) -> None:
+        """Set the connection of the session."""
+        self._port = port
 
     def close_if_idle(self) -> None:
-        """Close the connection unless the session is busy."""
-        if not self.busy and self._disconnect is not None:
+        """Close the connection unless the session is busy; nothing is read from it afterwards."""
+        if self._port is not None and not self.closed and not self.busy:
             self.closed = True
-            self._disconnect()
+            self._port.close()
 
     def close(self) -> None:
         """End the session; an open transaction is rolled back."""
--- a/godwitthread/platform/caller_connection.py
+++ b/godwitthread/platform/caller_connection.py
@@ -8,6 +8,7 @@
 
 from godwitthread.core.statements import TxState
 from godwitthread.errors import ErrorKind
+from godwitthread.gateway.sessions import CallerPort
 from godwitthread.platform.line_protocol import (
     MAX_LINE_BYTES,
     LineReader,
@@ -74,7 +75,7 @@
         reader.limit = MAX_LINE_BYTES
         sock.sendall(encode(ready(TxState.IDLE)))
         sock.settimeout(None)
-        session.attach(partial(shutdown_socket, sock))
+        session.attach(CallerPort(partial(shutdown_socket, sock), reader.has_input))
         _serve_queries(sock, reader, session)
     except LineTooLongError:
         logger.debug('caller connection closed: line exceeds the maximum length')
@@ -89,7 +90,7 @@
 def _serve_queries(sock: socket.socket, reader: LineReader, session: Session) -> None:
     while not session.ending:
         line = reader.read()
-        if line is None:
+        if line is None or session.closed:
             return
         command, _, rest = line.partition(' ')
         if command == 'BYE':
--- a/godwitthread/platform/line_protocol.py
+++ b/godwitthread/platform/line_protocol.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from collections import deque
+from typing import Any
 
 from godwitthread.core.statements import Statement, TxState, Verb
-from godwitthread.sockets import receive
+from godwitthread.sockets import has_no_input, receive
 from godwitthread.types import Position
 
-if TYPE_CHECKING:
-    from collections.abc import Iterator
-
 #: Maximum length of a line, in bytes.
 MAX_LINE_BYTES = 1024 * 1024
 #: Maximum number of bytes requested by one socket read.
@@ -34,19 +32,22 @@
         self._sock = sock
         #: Incomplete line at the end of the data received so far.
         self._partial = b''
-        self._lines: Iterator[bytes] = iter(())
+        self._lines: deque[bytes] = deque()
+
+    def has_input(self) -> bool:
+        """Return whether `read` has data to process, or the end of the stream."""
+        return bool(self._lines or self._partial) or not has_no_input(self._sock)
 
     def read(self) -> str | None:
         """Return the next line without its terminator, or None at the end of the stream."""
         while True:
-            line = next(self._lines, None)
-            if line is not None:
-                return line.rstrip(b'\r').decode('latin-1')
+            if self._lines:
+                return self._lines.popleft().rstrip(b'\r').decode('latin-1')
             data = receive(self._sock, READ_BYTES)
             if not data:
                 return None
             *lines, self._partial = (self._partial + data).split(b'\n')
-            self._lines = iter(lines)
+            self._lines.extend(lines)
             if len(self._partial) > self.limit:
                 raise LineTooLongError
 
