Answer every statement before a planned stop ends the process

Callers lost the answer of a statement that ran when the process ended itself, and could not tell whether it had run.

Cause: from half of the grace period on, the process waited only for groups with open work at this instance, so a statement that another instance ran for one of its sessions was cut. At the end of the grace period it exited without a word to anybody. Transactions went on until then and were cut in the middle.

core/shutdown.py now decides in phases: sessions end when they are idle; after half of the grace period open transactions are rolled back as soon as no statement of theirs is running, a further statement is answered as rolled back, and only a commit may still run; at the end each statement that still runs is answered as unknown, or as rolled back in a transaction without a commit.

--- a/godwitthread/gateway/group_runner.py
+++ b/godwitthread/gateway/group_runner.py
@@ -87,6 +87,8 @@
         #: Returns 0 if the operation is admitted, else the delay before a retry, in ms.
         self._admit = admit
         self._transactions: dict[tuple[str, int], OpenTransaction] = {}
+        #: Transactions in which a statement is running.
+        self._running_transactions: set[tuple[str, int]] = set()
 
     def run(self, sender: str, req: RunRequest) -> Result:
         """Execute a statement of a session and return its result."""
@@ -123,6 +125,12 @@
             if tx.member == member_id:
                 self._end_transaction(key, tx, clean=False)
 
+    def end_idle_transactions(self) -> None:
+        """Roll back the transactions in which no statement is running."""
+        for key, tx in list(self._transactions.items()):
+            if key not in self._running_transactions:
+                self._end_transaction(key, tx, clean=False)
+
     def end_sender(self, sender: str) -> None:
         """Roll back the transactions of a peer connection that has ended."""
         for key, tx in list(self._transactions.items()):
@@ -311,7 +319,11 @@
                 return begun
             tx = self._transactions[key] = begun
         commit = req.action is Action.COMMIT
-        sent_ms, reply = self._run_in(tx, req, deadline_ms, commit)
+        self._running_transactions.add(key)
+        try:
+            sent_ms, reply = self._run_in(tx, req, deadline_ms, commit)
+        finally:
+            self._running_transactions.discard(key)
         tx.conn.used_ms = self._clock.now_ms()
         if tx.on_primary and reply.refusal is None and not self.may_acknowledge(tx.epoch):
             reply = Reply(refusal=Refusal.LOST, message=UNCONFIRMED)
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -10,6 +10,7 @@
 from godwitthread.core import ownership, wait_limits
 from godwitthread.core.ownership import PeerReachability
 from godwitthread.core.rate_grants import Grant
+from godwitthread.core.shutdown import Phase
 from godwitthread.core.statements import (
     Action,
     Result,
@@ -86,6 +87,8 @@
         self.leaving = False
         #: Streams of the peers that have a link to this instance.
         self.inbound: set[links.FrameStream] = set()
+        #: Number of statements of peers that run at this instance.
+        self.peer_statements = 0
         self._ports = ports
         self._started_ms = clock.now_ms()
         self._ready_to_own = False
@@ -121,7 +124,6 @@
         self._eviction = PeerEviction(clock, ports, log, self.view.row_revision)
         self._ownerless_since_ms: dict[str, int] = {}
         self._hello = Hello(peer.name, peer.incarnation)
-        self._peer_statements = 0
 
     # Life cycle
 
@@ -175,14 +177,6 @@
         """Return the number of open connections to members."""
         return sum(pool.total for each in self.runners.values() for pool in each.pools.values())
 
-    def has_open_work(self) -> bool:
-        """Return whether any group has open statements or transactions at this instance."""
-        return any(runner.has_open_work() for runner in self.runners.values())
-
-    def open_calls(self) -> int:
-        """Return the number of peers' statements that run here, and of streams with unsent data."""
-        return self._peer_statements + sum(stream.unsent for stream in self.inbound)
-
     # Statements
 
     def run(self, req: RunRequest, holder: str | None) -> tuple[Result, str | None]:
@@ -265,11 +259,11 @@
     def handle(self, sender: str, kind: str, body: msgspec.Raw) -> Any:
         """Answer a call of a peer; raise ProxyError."""
         if kind == 'run':
-            self._peer_statements += 1
+            self.peer_statements += 1
             try:
                 return self._run_here(sender, _run_requests.decode(body))
             finally:
-                self._peer_statements -= 1
+                self.peer_statements -= 1
         if kind == 'grant':
             return self._grant(_grant_requests.decode(body))
         if kind == 'order':
@@ -422,11 +416,12 @@
         now_ms = self.clock.now_ms()
         if self.leaving or self.ownership_manager.has_majority():
             self._minority_since_ms = 0
-            self.sessions.ending = self.leaving
+            if not self.leaving:
+                self.sessions.phase = Phase.SERVING
             return
         self._minority_since_ms = self._minority_since_ms or now_ms
         if self._ready_to_own and now_ms - self._minority_since_ms >= MINORITY_GRACE_MS:
-            self.sessions.end_idle()
+            self.sessions.enter(Phase.DRAINING)
 
     def _register(self) -> None:
         """Keep the entry of this instance in the store, and the promotion duty taken."""
--- a/godwitthread/gateway/sessions.py
+++ b/godwitthread/gateway/sessions.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import contextlib
 import itertools
 from collections.abc import Callable
 from typing import TYPE_CHECKING, NamedTuple
 
+from godwitthread.core.shutdown import Phase
 from godwitthread.core.statements import (
     Action,
     Consistency,
@@ -15,8 +17,10 @@
     TxState,
     Verb,
     failure,
+    unknown_outcome,
 )
 from godwitthread.errors import ErrorKind
+from godwitthread.loop import eventlet
 
 if TYPE_CHECKING:
     from godwitthread.clock import Clock
@@ -32,6 +36,12 @@
 #: Organisation name sent to backend servers for callers of an open route without a key.
 ANONYMOUS = '-'
 
+#: Delay after which a caller that is refused during a shutdown can reach another instance, in ms.
+RECONNECT_DELAY_MS = 30
+#: Time limit for sending a final answer, in ms; a caller that does not read would delay the exit.
+FINAL_ANSWER_TIMEOUT_MS = 100
+SHUTTING_DOWN = 'the instance is shutting down'
+
 _NO_RESULT = Result()
 
 
@@ -42,6 +52,8 @@
     close: Callable[[], None]
     #: Returns whether a request, or a part of one, was received and not read yet.
     has_input: Callable[[], bool]
+    #: Sends the answer to a statement; raises OSError.
+    answer: Callable[[Result], None]
 
 
 class Sessions:
@@ -60,8 +72,8 @@
         #: Called with database, outcome and duration in ms of each statement.
         self.observe = observe
         self.run = runner
-        #: Whether sessions end as soon as they are idle.
-        self.ending = False
+        #: Phase that determines which sessions end and which statements may start.
+        self.phase = Phase.SERVING
         self._configuration = configuration
         self._numbers = itertools.count(1)
         self._open: dict[int, Session] = {}
@@ -99,11 +111,16 @@
         """Remove a session that has ended."""
         self._open.pop(session.number, None)
 
-    def end_idle(self) -> None:
-        """Close the connections of idle sessions; busy ones end when they become idle."""
-        self.ending = True
+    def enter(self, phase: Phase) -> None:
+        """Enter a phase, and close the connections of the sessions that end in it."""
+        self.phase = phase
+        for session in list(self._open.values()):
+            session.close_if_ending()
+
+    def answer_running(self) -> None:
+        """Send a final answer to the callers of running statements, before the process ends."""
         for session in list(self._open.values()):
-            session.close_if_idle()
+            session.answer_running()
 
     def busy(self) -> int:
         """Return the number of sessions with unfinished work: see `Session.busy`."""
@@ -131,6 +148,8 @@
         self.running = False
         #: Whether this instance closed the connection.
         self.closed = False
+        #: Request that runs at the owner of the group.
+        self._request: RunRequest | None = None
         # Current operation: its route and organisation, the instance that holds the transaction
         # once a statement has run, and the time spent so far.
         self._route: Route | None = None
@@ -144,25 +163,36 @@
     @property
     def busy(self) -> bool:
         """Return whether a request is unread or unanswered, or a transaction is open."""
-        if self.running or self.state is not TxState.IDLE:
-            return True
-        return self._port is not None and not self.closed and self._port.has_input()
+        return self.running or self.state is not TxState.IDLE or self._has_input()
 
     @property
     def ending(self) -> bool:
-        """Return whether the session should end before the next statement."""
-        return self._sessions.ending and not self.busy
+        """Return whether the session ends now."""
+        if self._sessions.phase >= Phase.ABORTING:
+            return not self.running and not self._has_input()
+        return self._sessions.phase >= Phase.DRAINING and not self.busy
 
     def attach(self, port: CallerPort) -> None:
         """Set the connection of the session."""
         self._port = port
 
-    def close_if_idle(self) -> None:
-        """Close the connection unless the session is busy; nothing is read from it afterwards."""
-        if self._port is not None and not self.closed and not self.busy:
+    def close_if_ending(self) -> None:
+        """Close the connection if the session ends now; nothing is read from it afterwards."""
+        if self._port is not None and not self.closed and self.ending:
             self.closed = True
             self._port.close()
 
+    def answer_running(self) -> None:
+        """Answer a running statement: its outcome is unknown, since the process ends."""
+        if self._port is None or self.closed or self._request is None:
+            return
+        result = unknown_outcome(self._request, 'the instance stopped')
+        over = self.state is TxState.IDLE or self._request.action is Action.COMMIT
+        self.state = TxState.IDLE if over else TxState.FAILED
+        self.closed = True
+        with contextlib.suppress(OSError), eventlet.Timeout(FINAL_ANSWER_TIMEOUT_MS / 1000, False):
+            self._port.answer(result)
+
     def close(self) -> None:
         """End the session; an open transaction is rolled back."""
         self._sessions.forget(self)
@@ -185,6 +215,9 @@
             closed_by='instance' if self.closed else 'caller',
         )
 
+    def _has_input(self) -> bool:
+        return self._port is not None and not self.closed and self._port.has_input()
+
     def malformed(self) -> Result:
         """Return the answer to a malformed message, or to a statement that is invalid here."""
         return self._fail_in_transaction(failure(ErrorKind.MALFORMED_REQUEST, 'invalid request'))
@@ -198,6 +231,8 @@
             return self._end(statement)
         if self.state is TxState.FAILED:
             return failure(ErrorKind.MALFORMED_REQUEST, 'the transaction has failed; end it first')
+        if self._sessions.phase >= Phase.ABORTING and verb is not Verb.COMMIT:
+            return self._refuse()
         local = _LOCAL_HANDLERS.get(verb)
         if local is not None:
             return local(self, statement)
@@ -207,6 +242,12 @@
         self._report(statement, result, took_ms)
         return result
 
+    def _refuse(self) -> Result:
+        """Return the answer to a statement that is not started, since the process ends soon."""
+        if self.state is TxState.IDLE:
+            return failure(ErrorKind.SHUTTING_DOWN, SHUTTING_DOWN, RECONNECT_DELAY_MS)
+        return self._fail_in_transaction(failure(ErrorKind.TRANSACTION_LOST, SHUTTING_DOWN))
+
     # Statements that the session answers itself
 
     def _begin(self, statement: Statement) -> Result:
@@ -267,11 +308,14 @@
             return self._fail_in_transaction(
                 failure(ErrorKind.READ_ONLY_ROUTE, 'the transaction is read-only')
             )
-        req = self._request(statement, prepared, writes, first)
-        result, owner = self._sessions.run(req, self._owner)
+        self._request = req = self._build_request(statement, prepared, writes, first)
+        try:
+            result, owner = self._sessions.run(req, self._owner)
+        finally:
+            self._request = None
         return self._finish(statement, result, owner, writes)
 
-    def _request(
+    def _build_request(
         self, statement: Statement, prepared: Prepared | None, writes: bool, first: bool
     ) -> RunRequest:
         route = self._route
--- /dev/null
+++ b/godwitthread/gateway/shutdown.py
@@ -0,0 +1,43 @@
+"""Planned stop of an instance: finish or refuse its work within the grace period."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from godwitthread.core import shutdown
+from godwitthread.core.shutdown import Phase
+from godwitthread.loop import eventlet
+
+if TYPE_CHECKING:
+    from godwitthread.clock import Clock
+    from godwitthread.gateway.node import Node
+
+#: Interval at which open work is checked, in ms.
+POLL_INTERVAL_MS = 50
+
+
+def shut_down(node: Node, clock: Clock, grace_ms: int) -> None:
+    """Stop accepting work, and return when everything is answered or the grace period is over."""
+    started_ms = clock.now_ms()
+    node.leave()
+    while True:
+        busy = bool(node.sessions.busy()) or _has_open_work(node)
+        phase = shutdown.phase(clock.now_ms() - started_ms, grace_ms, busy)
+        node.sessions.enter(phase)
+        if phase is Phase.STOPPING:
+            break
+        if phase is Phase.ABORTING:
+            for runner in node.runners.values():
+                runner.end_idle_transactions()
+        eventlet.sleep(POLL_INTERVAL_MS / 1000)
+    node.sessions.answer_running()
+
+
+def open_calls(node: Node) -> int:
+    """Return the number of peers' statements that run here, and of streams with unsent data."""
+    return node.peer_statements + sum(stream.unsent for stream in node.inbound)
+
+
+def _has_open_work(node: Node) -> bool:
+    """Return whether any group has open statements or transactions at this instance."""
+    return any(runner.has_open_work() for runner in node.runners.values())
--- a/godwitthread/platform/caller_connection.py
+++ b/godwitthread/platform/caller_connection.py
@@ -75,7 +75,8 @@
         reader.limit = MAX_LINE_BYTES
         sock.sendall(encode(ready(TxState.IDLE)))
         sock.settimeout(None)
-        session.attach(CallerPort(partial(shutdown_socket, sock), reader.has_input))
+        answer = partial(_answer, sock, session)
+        session.attach(CallerPort(partial(shutdown_socket, sock), reader.has_input, answer))
         _serve_queries(sock, reader, session)
     except LineTooLongError:
         logger.debug('caller connection closed: line exceeds the maximum length')
@@ -97,17 +98,21 @@
             return
         statement = parse_query(rest) if command == 'QUERY' else None
         result = session.malformed() if statement is None else session.run(statement)
-        lines = [f'ROW {row}' for row in result.rows]
-        lines.append(_format_error(result) if result.error else f'DONE {result.receipt}')
-        lines.append(ready(session.state, result.position))
         try:
-            sock.sendall(encode(*lines))
+            _answer(sock, session, result)
         except OSError:
             session.report_undelivered(statement, result)
             raise
         session.mark_answered()
 
 
+def _answer(sock: socket.socket, session: Session, result: Result) -> None:
+    lines = [f'ROW {row}' for row in result.rows]
+    lines.append(_format_error(result) if result.error else f'DONE {result.receipt}')
+    lines.append(ready(session.state, result.position))
+    sock.sendall(encode(*lines))
+
+
 def _format_error(result: Result) -> str:
     code = ERROR_CODES.get(ErrorKind(result.error), 'INDOUBT')
     retry_hint = f'; retry after {result.retry_after_ms} ms' if result.retry_after_ms else ''
--- a/godwitthread/platform/gateway_process.py
+++ b/godwitthread/platform/gateway_process.py
@@ -21,6 +21,7 @@
 from godwitthread.gateway.metrics import Metrics
 from godwitthread.gateway.node import Node
 from godwitthread.gateway.ports import Ports
+from godwitthread.gateway.shutdown import open_calls, shut_down
 from godwitthread.loop import eventlet
 from godwitthread.platform import caller_connection, promotion, row_decoding
 from godwitthread.platform.member_connection import open_connection
@@ -35,12 +36,8 @@
 
 #: Exit status for invalid settings.
 BAD_SETTINGS = 2
-#: Fraction of the grace period after which the process no longer waits for open transactions.
-TRANSACTION_GRACE_FRACTION = 0.5
-#: Time before the end of the grace period at which the process exits by itself, in ms.
-SHUTDOWN_MARGIN_MS = 700
-#: Interval at which the drain checks for busy sessions, and delay after a failed `accept`, in ms.
-POLL_INTERVAL_MS = 50
+#: Delay after a failed `accept`, in ms.
+ACCEPT_RETRY_MS = 50
 #: Maximum number of events kept in memory; the process log contains all of them.
 MAX_EVENTS = 64
 
@@ -110,25 +107,15 @@
             'instance_stopped',
             sessions=len(node.sessions),
             unanswered=node.sessions.unanswered(),
-            peer_calls=node.open_calls(),
+            peer_calls=open_calls(node),
         )
         sys.stdout.flush()
         os._exit(0)
 
     def drain(self) -> None:
         """Finish running work within the grace period."""
-        node = self.node
-        started_ms = self.clock.now_ms()
-        self._log.event('shutdown_started', sessions=len(node.sessions))
-        node.leave()
-        node.sessions.end_idle()
-        drain_limit_ms = self._settings.grace_ms - SHUTDOWN_MARGIN_MS
-        transaction_limit_ms = int(self._settings.grace_ms * TRANSACTION_GRACE_FRACTION)
-        while (elapsed_ms := self.clock.now_ms() - started_ms) < drain_limit_ms:
-            busy = node.sessions.busy() or node.has_open_work()
-            if not busy or (elapsed_ms > transaction_limit_ms and not node.has_open_work()):
-                break
-            eventlet.sleep(POLL_INTERVAL_MS / 1000)
+        self._log.event('shutdown_started', sessions=len(self.node.sessions))
+        shut_down(self.node, self.clock, self._settings.grace_ms)
 
     def _serve_peer(self, sock: Any) -> None:
         node = self.node
@@ -147,7 +134,7 @@
                     conn, _ = sock.accept()
                 except OSError as exc:
                     self._log.failure('connection_refused', reason=str(exc))
-                    eventlet.sleep(POLL_INTERVAL_MS / 1000)
+                    eventlet.sleep(ACCEPT_RETRY_MS / 1000)
                     continue
                 eventlet.spawn_n(serve, conn)
 
