Tell peers of a planned stop before the process ends, and send their answers

Statements of other instances could end as unknown although the stop was planned.

Cause: the process ended as soon as nothing was running, in the same step in which it queued the notice that it leaves. The notice was not sent; peers sent statements until the connection ended, and reported writes among them as unknown. An answer that waited in the queue of a connection was lost as well.

Two tests failed before and pass now.

--- a/godwitthread/gateway/shutdown.py
+++ b/godwitthread/gateway/shutdown.py
@@ -21,7 +21,7 @@
     started_ms = clock.now_ms()
     node.leave()
     while True:
-        busy = bool(node.sessions.busy()) or _has_open_work(node)
+        busy = bool(node.sessions.busy() or open_calls(node)) or _has_open_work(node)
         phase = shutdown.phase(clock.now_ms() - started_ms, grace_ms, busy)
         node.sessions.enter(phase)
         if phase is Phase.STOPPING:
