Serve callers of a stopping instance until the load balancer has noticed

Callers of an instance that was stopped as planned lost requests that had not been read, and new callers were accepted and disconnected at once, or found no process.

Cause: idle connections were closed at the moment of the stop, while requests were under way on them, and the process ended seconds before the load balancer stopped sending new connections to it. The START of a new session was answered with READY although the session ended in the same step.

--- a/godwitthread/gateway/sessions.py
+++ b/godwitthread/gateway/sessions.py
@@ -36,11 +36,11 @@
 #: Organisation name sent to backend servers for callers of an open route without a key.
 ANONYMOUS = '-'
 
-#: Delay after which a caller that is refused during a shutdown can reach another instance, in ms.
+#: Delay after which a refused caller can reach another instance, in ms.
 RECONNECT_DELAY_MS = 30
 #: Time limit for sending a final answer, in ms; a caller that does not read would delay the exit.
 FINAL_ANSWER_TIMEOUT_MS = 100
-SHUTTING_DOWN = 'the instance is shutting down'
+CLOSING = 'the instance closes its sessions'
 
 _NO_RESULT = Result()
 
@@ -83,11 +83,12 @@
 
     def open(self, database: str, key: str) -> tuple[Session | None, Result | None]:
         """Return a new session, or the reason for its refusal."""
-        route, organisation, refusal = self.resolve(database, key)
+        _, _, refusal = self.resolve(database, key)
+        if refusal is None and self.phase >= Phase.DRAINING:
+            refusal = failure(ErrorKind.SHUTTING_DOWN, CLOSING, RECONNECT_DELAY_MS)
         if refusal is not None:
             self.log.failure('session_refused', database=database, reason=refusal.error)
             return None, refusal
-        assert route is not None
         session = Session(self, next(self._numbers), database, key)
         self._open[session.number] = session
         return session, None
@@ -114,8 +115,9 @@
     def enter(self, phase: Phase) -> None:
         """Enter a phase, and close the connections of the sessions that end in it."""
         self.phase = phase
-        for session in list(self._open.values()):
-            session.close_if_ending()
+        if phase >= Phase.DRAINING:
+            for session in list(self._open.values()):
+                session.close_if_ending()
 
     def answer_running(self) -> None:
         """Send a final answer to the callers of running statements, before the process ends."""
@@ -148,6 +150,8 @@
         self.running = False
         #: Whether this instance closed the connection.
         self.closed = False
+        #: Whether the last statement ended an operation, so that the caller awaits nothing more.
+        self._operation_ended = False
         #: Request that runs at the owner of the group.
         self._request: RunRequest | None = None
         # Current operation: its route and organisation, the instance that holds the transaction
@@ -168,9 +172,11 @@
     @property
     def ending(self) -> bool:
         """Return whether the session ends now."""
-        if self._sessions.phase >= Phase.ABORTING:
+        phase = self._sessions.phase
+        if phase >= Phase.ABORTING:
             return not self.running and not self._has_input()
-        return self._sessions.phase >= Phase.DRAINING and not self.busy
+        ends = phase >= Phase.DRAINING or (phase is Phase.LAME_DUCK and self._operation_ended)
+        return ends and not self.busy
 
     def attach(self, port: CallerPort) -> None:
         """Set the connection of the session."""
@@ -226,6 +232,7 @@
         """Run one statement and return its result."""
         self.running = True
         verb = statement.verb
+        self._operation_ended = verb not in _LOCAL_HANDLERS
         started_ms = self._sessions.clock.now_ms()
         if verb is Verb.ROLLBACK or (verb is Verb.COMMIT and self.state is TxState.FAILED):
             return self._end(statement)
@@ -245,8 +252,8 @@
     def _refuse(self) -> Result:
         """Return the answer to a statement that is not started, since the process ends soon."""
         if self.state is TxState.IDLE:
-            return failure(ErrorKind.SHUTTING_DOWN, SHUTTING_DOWN, RECONNECT_DELAY_MS)
-        return self._fail_in_transaction(failure(ErrorKind.TRANSACTION_LOST, SHUTTING_DOWN))
+            return failure(ErrorKind.SHUTTING_DOWN, CLOSING, RECONNECT_DELAY_MS)
+        return self._fail_in_transaction(failure(ErrorKind.TRANSACTION_LOST, CLOSING))
 
     # Statements that the session answers itself
 
--- a/godwitthread/gateway/shutdown.py
+++ b/godwitthread/gateway/shutdown.py
@@ -9,6 +9,8 @@
 from godwitthread.loop import eventlet
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from godwitthread.clock import Clock
     from godwitthread.gateway.node import Node
 
@@ -16,13 +18,17 @@
 POLL_INTERVAL_MS = 50
 
 
-def shut_down(node: Node, clock: Clock, grace_ms: int) -> None:
-    """Stop accepting work, and return when everything is answered or the grace period is over."""
+def shut_down(node: Node, clock: Clock, grace_ms: int, out_of_rotation: Callable[[], bool]) -> None:
+    """Return when all work is answered, or at the end of the grace period.
+
+    `out_of_rotation` returns whether the load balancer sends no more callers.
+    """
     started_ms = clock.now_ms()
     node.leave()
     while True:
         busy = bool(node.sessions.busy() or open_calls(node)) or _has_open_work(node)
-        phase = shutdown.phase(clock.now_ms() - started_ms, grace_ms, busy)
+        elapsed_ms = clock.now_ms() - started_ms
+        phase = shutdown.phase(elapsed_ms, grace_ms, out_of_rotation(), busy)
         node.sessions.enter(phase)
         if phase is Phase.STOPPING:
             break
--- a/godwitthread/platform/gateway_process.py
+++ b/godwitthread/platform/gateway_process.py
@@ -36,6 +36,8 @@
 
 #: Exit status for invalid settings.
 BAD_SETTINGS = 2
+#: Number of failed readiness probes after which the platform sends no new connections.
+PROBES_UNTIL_OUT_OF_ROTATION = 2
 #: Delay after a failed `accept`, in ms.
 ACCEPT_RETRY_MS = 50
 #: Maximum number of events kept in memory; the process log contains all of them.
@@ -89,6 +91,8 @@
         )
         self._metrics = metrics
         self._stop_requested = eventlet.event.Event()
+        #: Number of failed readiness probes since the request to stop.
+        self._failed_probes = 0
 
     def run(self) -> int:
         """Serve until SIGTERM, then finish running work within the grace period."""
@@ -96,7 +100,7 @@
         signal.signal(signal.SIGTERM, self._on_sigterm)
         signal.signal(signal.SIGHUP, self._on_sighup)
         self._serve_sockets(settings.peer_address, self._serve_peer)
-        self._serve_http(settings.ready_address, self._readiness_application)
+        self._serve_http(settings.ready_address, self.answer_probe)
         self._serve_http(settings.metrics_address, self._metrics.application)
         self._log.event('instance_started', incarnation=node.peer.incarnation)
         node.start()
@@ -115,7 +119,7 @@
     def drain(self) -> None:
         """Finish running work within the grace period."""
         self._log.event('shutdown_started', sessions=len(self.node.sessions))
-        shut_down(self.node, self.clock, self._settings.grace_ms)
+        shut_down(self.node, self.clock, self._settings.grace_ms, self._is_out_of_rotation)
 
     def _serve_peer(self, sock: Any) -> None:
         node = self.node
@@ -145,11 +149,17 @@
             eventlet.wsgi.server, listen(address), application, log_output=False, debug=False
         )
 
-    def _readiness_application(self, _environ: Any, start_response: Any) -> Iterable[bytes]:
+    def answer_probe(self, _environ: Any, start_response: Any) -> Iterable[bytes]:
+        """Answer a readiness probe of the platform (WSGI application)."""
         ready = self.node.ready()
+        if self.node.leaving:
+            self._failed_probes += 1
         start_response('200 OK' if ready else '503 Service Unavailable', [('Content-Length', '0')])
         return [b'']
 
+    def _is_out_of_rotation(self) -> bool:
+        return self._failed_probes >= PROBES_UNTIL_OUT_OF_ROTATION
+
     def _on_sigterm(self, *_: Any) -> None:
         if not self._stop_requested.ready():
             eventlet.spawn_after(0, self._stop_requested.send)
--- a/tests/test_platform/test_shutdown.py
+++ b/tests/test_platform/test_shutdown.py
@@ -223,6 +223,28 @@
     assert answer.startswith((b'ROW x', b'ERR BUSY'))
 
 
+def test_an_idle_session_is_served_until_the_balancer_has_noticed_the_shutdown(instance):
+    """Guard against requests that cross the close of their idle connection."""
+    sock = instance.open_session()
+    instance.shut_down()
+    sock.sendall(b'QUERY 1 READ a\r\n')
+    assert receive_all(sock) == b'ROW x\r\nDONE receipt\r\nREADY I -\r\n'
+
+
+def test_a_session_is_refused_after_the_balancer_has_noticed_the_shutdown(instance):
+    """Guard against callers that are accepted although the process ends soon."""
+    busy = instance.open_session()
+    busy.sendall(b'QUERY 1 READ slow\r\n')
+    eventlet.sleep(0.05)
+    instance.shut_down()
+    for _ in range(2):
+        instance.process.answer_probe({}, lambda *_: None)
+    eventlet.sleep(0.1)
+    sock = instance.connect()
+    sock.sendall(START)
+    assert receive_all(sock).startswith(b'ERR BUSY')
+
+
 def test_peers_are_notified_before_the_process_ends(instance):
     """Guard against statements that peers still send to an instance that has ended."""
     near, far = instance.pair()
