Answer statements that an unexpected error ends

A caller lost its connection in place of an answer when its statement met an unexpected error at the instance that holds the connection, for example while the group is owned there. At another instance the same error was answered as unknown.

The outcome is unknown after such an error, which the caller now reads; in a transaction it is rolled back. Three cases of a test failed before with the error itself. A session counts as running as soon as its request is read.

--- a/godwitthread/gateway/sessions.py
+++ b/godwitthread/gateway/sessions.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import itertools
+import logging
 from collections.abc import Callable
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -33,6 +34,8 @@
     #: open transaction, and returns the result and the instance that ran the statement.
     Runner = Callable[[RunRequest, str | None], tuple[Result, str | None]]
 
+logger = logging.getLogger(__name__)
+
 #: Organisation name sent to backend servers for callers of an open route without a key.
 ANONYMOUS = '-'
 
@@ -230,7 +233,6 @@
 
     def run(self, statement: Statement) -> Result:
         """Run one statement and return its result."""
-        self.running = True
         verb = statement.verb
         self._operation_ended = verb not in _LOCAL_HANDLERS
         started_ms = self._sessions.clock.now_ms()
@@ -318,6 +320,10 @@
         self._request = req = self._build_request(statement, prepared, writes, first)
         try:
             result, owner = self._sessions.run(req, self._owner)
+        except Exception:
+            logger.exception('statement %s failed', statement.id)
+            result = unknown_outcome(req, 'internal error')._replace(ended=False)
+            owner = self._owner
         finally:
             self._request = None
         return self._finish(statement, result, owner, writes)
@@ -395,7 +401,11 @@
         route = self._route
         assert route is not None
         req = RunRequest(Action.ROLLBACK, self.number, route.group, self._organisation, '')
-        self._sessions.run(req, self._owner)
+        try:
+            self._sessions.run(req, self._owner)
+        except Exception:
+            # The owner ends the transaction when it has been idle for too long.
+            logger.exception('rollback of session %d failed', self.number)
 
     def _reset(self) -> None:
         self.state = TxState.IDLE
--- a/godwitthread/platform/caller_connection.py
+++ b/godwitthread/platform/caller_connection.py
@@ -96,6 +96,7 @@
         command, _, rest = line.partition(' ')
         if command == 'BYE':
             return
+        session.running = True
         statement = parse_query(rest) if command == 'QUERY' else None
         result = session.malformed() if statement is None else session.run(statement)
         try:
--- a/tests/test_gateway/test_sessions.py
+++ b/tests/test_gateway/test_sessions.py
@@ -174,3 +174,24 @@
     session.run(statement(Verb.READ, 'READ i', name='i'))
     expected = Position(1, 9) if kind is Consistency.SESSION else None
     assert owner.requests[-1][0].seen == expected
+
+
+@pytest.mark.parametrize(
+    ('verbs', 'error', 'state'),
+    [
+        ([Verb.WRITE], 'connection_lost', TxState.IDLE),
+        ([Verb.BEGIN, Verb.WRITE], 'transaction_lost', TxState.FAILED),
+        ([Verb.BEGIN, Verb.COMMIT], 'commit_unknown', TxState.IDLE),
+    ],
+)
+def test_an_unexpected_error_is_answered(verbs, error, state):
+    """Guard against a connection that ends without an answer after an internal error."""
+    session, _, owner, _ = open_session()
+
+    def fail(req, holder):
+        raise KeyError('unexpected')
+
+    session._sessions.run = fail
+    results = [session.run(statement(verb, f'{verb.name} i x', name='i')) for verb in verbs]
+    assert results[-1].error == error
+    assert session.state is state
