Answer the calls in flight when an instance is no candidate any more

Statements ended as unknown when instances were added as planned: the candidates for ownership changed, the link to a former candidate was closed at once, and the statements that it was running for this instance lost their answers.

Such a link now takes no new calls and closes once those in flight are answered. The test fails with the former call, stop, with 'link to b ended'.

--- a/godwitthread/gateway/links.py
+++ b/godwitthread/gateway/links.py
@@ -188,6 +188,7 @@
         self._refused = False
         self._peer_status = HeartbeatStatus(False, False)
         self._stopped = False
+        self._retired = False
         self._threads = [eventlet.spawn(self._run), eventlet.spawn(self._heartbeat)]
 
     @property
@@ -231,6 +232,8 @@
                 return frame.body
         finally:
             del self._waiting[call_id]
+            if self._retired and not self._waiting:
+                self.stop()
         raise ProxyError(ErrorKind.DEADLINE_EXCEEDED_AFTER_SEND, f'no answer from {self.peer.name}')
 
     def send_oneway(self, kind: str, body: Any) -> None:
@@ -238,6 +241,12 @@
         if self._stream is not None:
             self._stream.send(next(self._ids), kind, body)
 
+    def retire(self) -> None:
+        """Close the link permanently once its calls in flight are answered; report no change."""
+        self._retired = True
+        if not self._waiting:
+            self.stop()
+
     def stop(self) -> None:
         """Close the link permanently."""
         self._stopped = True
@@ -271,7 +280,7 @@
                 if self._stream is None:
                     # The connection is usable once the peer has answered on it.
                     self._stream = stream
-                    self._on_change(self.peer.name, True)
+                    self._report_change(True)
                 if frame.call_id == 0:
                     self._update_peer_status(_statuses.decode(frame.body))
                 elif waiter := self._waiting.get(-frame.call_id):
@@ -283,7 +292,7 @@
         changed = heartbeat_status != self._peer_status
         self._peer_status = heartbeat_status
         if changed:
-            self._on_change(self.peer.name, True)
+            self._report_change(True)
 
     def _drop_stream(self) -> None:
         stream, self._stream = self._stream, None
@@ -293,7 +302,11 @@
         for waiter in list(self._waiting.values()):
             if not waiter.ready():
                 waiter.send(None)
-        self._on_change(self.peer.name, False)
+        self._report_change(False)
+
+    def _report_change(self, up: bool) -> None:
+        if not self._retired:
+            self._on_change(self.peer.name, up)
 
     def _heartbeat(self) -> None:
         while not self._stopped:
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -365,7 +365,8 @@
                 peer, self._hello, self.clock, self.heartbeat_status, self._on_link_change
             )
         for name in self._links.keys() - {peer.name for peer in chosen}:
-            self._links.pop(name).stop()
+            self._links.pop(name).retire()
+            self.authority.drop_voter(name)
             self._eviction.set_reachable(name)
 
     def _on_link_change(self, name: str, up: bool) -> None:
--- a/tests/test_gateway/test_links.py
+++ b/tests/test_gateway/test_links.py
@@ -129,3 +129,20 @@
             break
     assert link.reach().leaving
     link.stop()
+
+
+def test_a_retired_link_delivers_the_answers_of_calls_in_flight():
+    """Guard against statements of unknown outcome when other instances become candidates."""
+    released = eventlet.event.Event()
+    listener = Listener(lambda sender, kind, body: released.wait() or 'done')
+    changes: list[bool] = []
+    link = connected(listener, changes)
+    call = eventlet.spawn(link.call, 'slow', 1, 3_000)
+    eventlet.sleep(0.05)
+    link.retire()
+    released.send()
+    assert bytes(call.wait()) == b'\xa4done'
+    eventlet.sleep(0.05)
+    assert not listener.inbound
+    # The instance has removed the link, so that its end is no loss of a peer.
+    assert changes[-1] is True
