Ignore a signal to reload while a gateway process starts

A process that got SIGHUP during its first half second ended, since the handler is installed only after the imports. The test failed before with exit status -1.

--- a/godwitthread/platform/__main__.py
+++ b/godwitthread/platform/__main__.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 
-from godwitthread.platform.gateway_process import main
+if __name__ == '__main__':
+    # Until its handler is installed, SIGHUP would end the process. The settings are read later.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from godwitthread.platform.gateway_process import main
 
-sys.exit(main())
+    sys.exit(main())
--- a/tests/test_platform/test_settings.py
+++ b/tests/test_platform/test_settings.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import subprocess
+import sys
 
 import pytest
 
@@ -51,3 +53,15 @@
         settings.load({'GODWITTHREAD_CONFIG': str(path)})
     with pytest.raises(ExceptionGroup):
         settings.load({})
+
+
+def test_a_signal_to_reload_does_not_end_a_process_that_starts():
+    """Guard against a process that ends because its settings change while it starts."""
+    code = (
+        'import runpy, signal, sys, types\n'
+        'fake = types.ModuleType("fake")\n'
+        'fake.main = lambda: signal.raise_signal(signal.SIGHUP) or 7\n'
+        'sys.modules["godwitthread.platform.gateway_process"] = fake\n'
+        'runpy.run_module("godwitthread.platform", run_name="__main__")\n'
+    )
+    assert subprocess.run([sys.executable, '-c', code]).returncode == 7
