Answer a statement whose transaction is being rolled back when the process ends

The final answer was sent only for statements at the owner of the group. A ROLLBACK, or a failed statement, whose rollback was still running ended without an answer. Such statements are now answered as rolled back. A session whose answer is being sent gets no second one. The added case failed before with the answers of the earlier statements only.

--- a/godwitthread/gateway/sessions.py
+++ b/godwitthread/gateway/sessions.py
@@ -44,6 +44,7 @@
 #: Time limit for sending a final answer, in ms; a caller that does not read would delay the exit.
 FINAL_ANSWER_TIMEOUT_MS = 100
 CLOSING = 'the instance closes its sessions'
+STOPPED = 'the instance stopped'
 
 _NO_RESULT = Result()
 
@@ -151,6 +152,8 @@
         self._port: CallerPort | None = None
         #: Whether a statement is unanswered.
         self.running = False
+        #: Whether the answer is being sent.
+        self.answering = False
         #: Whether this instance closed the connection.
         self.closed = False
         #: Whether the last statement ended an operation, so that the caller awaits nothing more.
@@ -192,13 +195,19 @@
             self._port.close()
 
     def answer_running(self) -> None:
-        """Answer a running statement: its outcome is unknown, since the process ends."""
-        if self._port is None or self.closed or self._request is None:
+        """Answer a running statement, whose outcome remains unknown as the process ends."""
+        if self._port is None or self.closed or self.answering or not self.running:
             return
-        result = unknown_outcome(self._request, 'the instance stopped')
-        over = self.state is TxState.IDLE or self._request.action is Action.COMMIT
-        self.state = TxState.IDLE if over else TxState.FAILED
         self.closed = True
+        if self._request is None:
+            # A transaction is being rolled back.
+            result = failure(ErrorKind.TRANSACTION_LOST, STOPPED)
+        else:
+            result = unknown_outcome(self._request, STOPPED)
+            if self._request.action is Action.COMMIT:
+                self.state = TxState.IDLE
+        if self.state is not TxState.IDLE:
+            self.state = TxState.FAILED
         with contextlib.suppress(OSError), eventlet.Timeout(FINAL_ANSWER_TIMEOUT_MS / 1000, False):
             self._port.answer(result)
 
@@ -210,7 +219,7 @@
 
     def mark_answered(self) -> None:
         """Record that the answer to the last statement was sent."""
-        self.running = False
+        self.running = self.answering = False
 
     def report_undelivered(self, statement: Statement | None, result: Result) -> None:
         """Log an answer that could not be sent."""
--- a/tests/test_platform/test_shutdown.py
+++ b/tests/test_platform/test_shutdown.py
@@ -50,8 +50,8 @@
         self.sockets: list[socket.socket] = []
 
     def _run(self, req: RunRequest, holder: str | None) -> tuple[Result, str]:
-        self.executed.append(req.text)
-        if 'slow' in req.text:
+        self.executed.append(req.text or req.action.value)
+        if self.executed[-1] in ('rollback', 'READ slow', 'WRITE a slow'):
             self.released.wait()
         return Result(('x',), 'receipt'), 'owner'
 
@@ -164,8 +164,9 @@
     [
         (b'QUERY 1 WRITE a slow\r\n', b'ERR INDOUBT'),
         (b'QUERY 1 BEGIN\r\nQUERY 2 READ slow\r\n', b'ERR ABORTED'),
+        (b'QUERY 1 BEGIN\r\nQUERY 2 READ a\r\nQUERY 3 ROLLBACK\r\n', b'ERR ABORTED'),
     ],
-    ids=['write', 'transaction'],
+    ids=['write', 'transaction', 'rollback'],
 )
 def test_a_statement_that_outlasts_the_grace_period_is_answered(instance, lines, answer):
     """Guard against a connection that ends without an answer, so that its caller can't tell."""
