Answer requests that wait unread on idle connections when a server stops

Callers saw the end of a kept-alive connection in place of an answer to a request that the instance had received while it stopped.

Cause: eventlet's server calls shutdown for both directions of every idle connection. A request in the socket buffer can still be read, so a plain connection ran it and could not send the answer. A TLS socket discards its keys on shutdown, so its connection failed with ValueError without reading.

Change: HttpServer.stop ends only the input of idle connections. The kernel returns the received data first and the end of the input after it, so the green thread of the connection answers what was received and then closes. For TLS the method of the underlying socket is called, and OP_IGNORE_UNEXPECTED_EOF keeps OpenSSL from sending a fatal alert after that end. Data that arrives between the call and the next read is answered too.

--- a/godwitthread/instance/http.py
+++ b/godwitthread/instance/http.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
+import socket
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import msgspec
@@ -126,8 +128,9 @@
         self._thread = eventlet.spawn(self._serve)
 
     def stop(self) -> None:
-        """Stop accepting, close idle connections and wait for running requests."""
+        """Stop accepting; answer what has been received, then close the connections."""
         if self._thread is not None:
+            self._pool.end_idle_input()
             self._thread.kill()
             self._pool.waitall()
             self._thread = None
@@ -152,12 +155,29 @@
     def __init__(self, tls: Certificates | None) -> None:
         super().__init__(CONNECTION_LIMIT)
         self._tls = tls
+        self._connections: dict[int, list[Any]] = {}
 
     def spawn(self, function: Callable[[list[Any]], Any], connection: list[Any]) -> Any:
         """Serve a connection, given as eventlet's list of address, socket and state."""
+        key = id(connection)
+        self._connections[key] = connection
         if self._tls is None:
-            return super().spawn(function, connection)
-        return super().spawn(_serve_tls, self._tls, function, connection)
+            thread = super().spawn(function, connection)
+        else:
+            thread = super().spawn(_serve_tls, self._tls, function, connection)
+        thread.link(lambda _: self._connections.pop(key))
+        return thread
+
+    def end_idle_input(self) -> None:
+        """End the input of idle connections; each closes once it has answered what it received.
+
+        The server itself would also end their output, and a request that had been received
+        but not read would be run without its answer.
+        """
+        for connection in self._connections.values():
+            if connection[2] == eventlet.wsgi.STATE_IDLE:
+                connection[2] = eventlet.wsgi.STATE_REQUEST
+                _end_input(connection[1])
 
 
 def _serve_tls(
@@ -174,6 +194,14 @@
         function(connection)
 
 
+def _end_input(sock: Any) -> None:
+    # Received data can still be read, followed by the end of the input. The method of a TLS
+    # socket would discard its keys, so the one of the underlying type is called.
+    raw = sock if isinstance(sock, socket.SocketType) else sock.fd
+    with contextlib.suppress(OSError):
+        socket.SocketType.shutdown(raw, socket.SHUT_RD)
+
+
 def listen(host: str, port: int) -> Any:
     """Return a listening TCP socket."""
     return eventlet.listen((host, port), backlog=1024, reuse_addr=True)
--- a/godwitthread/instance/tls.py
+++ b/godwitthread/instance/tls.py
@@ -122,6 +122,8 @@
 def _load(files: CertificateFiles) -> ssl.SSLContext:
     context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
     context.minimum_version = ssl.TLSVersion.TLSv1_2
+    # A connection whose input has ended can still answer. HTTP itself detects truncated bodies.
+    context.options |= ssl.OP_IGNORE_UNEXPECTED_EOF
     try:
         # Without a password callback, OpenSSL would prompt for one on the terminal.
         context.load_cert_chain(files.chain, files.key, password=_no_password)
