End the input of unfinished requests when a server stops

One caller that had sent part of a request kept an instance from stopping: the release of its shares and its seat, the answers of its other ports and the end of the process waited for the rest of that request without limit, so that only a kill ended it.

Cause: HttpServer.stop waited for connections in the middle of a request, which have no time limit for their input.

Evidence: test_a_partly_received_request_does_not_keep_a_server_from_stopping failed before for headers and for a body, plain and TLS: the stop had not ended after 100 turns of the event loop. For part of a request line it passed, because that connection counts as idle. test_a_request_cut_by_a_shutdown_is_refused_as_such failed before: its socket timed out without an answer.

Change: the server ends the input of all its connections when it stops, after the drain. Reads of unfinished requests then end at once and the requests are refused, with shutting_down, which the client may repeat elsewhere, in place of malformed_request.

--- a/godwitthread/instance/caller_application.py
+++ b/godwitthread/instance/caller_application.py
@@ -89,9 +89,17 @@
         operation = self._operations.get(path)
         if operation is None or environ['REQUEST_METHOD'] != 'POST':
             raise ProxyError(ErrorKind.NOT_FOUND, 'no such operation')
-        deadline_ms = protocol.decode_deadline(environ.get('HTTP_GODWITTHREAD_DEADLINE_MS'), now_ms)
-        body = read_body(environ)
-        return json_reply(operation(bearer_credential(environ), body, request_id, deadline_ms))
+        header = environ.get('HTTP_GODWITTHREAD_DEADLINE_MS')
+        try:
+            deadline_ms = protocol.decode_deadline(header, now_ms)
+            body = read_body(environ)
+            answer = operation(bearer_credential(environ), body, request_id, deadline_ms)
+        except ProxyError as exc:
+            if exc.kind is ErrorKind.MALFORMED_REQUEST:
+                # An instance that closes ends the input, which cuts requests that still arrive.
+                self._state.require_open()
+            raise
+        return json_reply(answer)
 
     def _operation(self, path: str) -> str:
         # An unknown path may contain a secret, and would make the label set unbounded.
--- a/godwitthread/instance/http.py
+++ b/godwitthread/instance/http.py
@@ -130,7 +130,7 @@
     def stop(self) -> None:
         """Stop accepting; answer what has been received, then close the connections."""
         if self._thread is not None:
-            self._pool.end_idle_input()
+            self._pool.end_input()
             self._thread.kill()
             self._pool.waitall()
             self._thread = None
@@ -168,16 +168,17 @@
         thread.link(lambda _: self._connections.pop(key))
         return thread
 
-    def end_idle_input(self) -> None:
-        """End the input of idle connections; each closes once it has answered what it received.
+    def end_input(self) -> None:
+        """End the input of all connections; each closes once it has answered what it received.
 
-        The server itself would also end their output, and a request that had been received
-        but not read would be run without its answer.
+        The server itself would end input and output of the idle ones only. A request that
+        had been received but not read would be run without its answer, and a connection in
+        the middle of a request would wait for the rest of it.
         """
         for connection in self._connections.values():
             if connection[2] == eventlet.wsgi.STATE_IDLE:
                 connection[2] = eventlet.wsgi.STATE_REQUEST
-                _end_input(connection[1])
+            _end_input(connection[1])
 
 
 def _serve_tls(
--- a/godwitthread/instance/state.py
+++ b/godwitthread/instance/state.py
@@ -130,10 +130,14 @@
             and not self.own_domain_out()
         )
 
-    def require_ready(self) -> Directory:
-        """Return the directory in force; raise ProxyError if the instance can't serve."""
+    def require_open(self) -> None:
+        """Raise SHUTTING_DOWN if the instance is closing its connections."""
         if self.closing:
             raise ProxyError(ErrorKind.SHUTTING_DOWN, 'the instance is shutting down')
+
+    def require_ready(self) -> Directory:
+        """Return the directory in force; raise ProxyError if the instance can't serve."""
+        self.require_open()
         if self.directory is None or not self.is_fresh():
             text = 'the instance has no evidence that its configuration is current'
             raise ProxyError(ErrorKind.STALE_CONFIGURATION, text, retry_after_ms=500)
