Accept the connections that wait when a server stops

Callers that connected while an instance closed its port saw a reset connection and could not know whether their request had run.

Cause: the kernel had completed these connections and received their requests, but the server closed the listening socket before it had accepted them, and the kernel resets what is then in the queue.

Evidence: test_a_request_on_a_connection_not_yet_accepted_is_answered failed before with ConnectionResetError.

Change: HttpServer.stop first lets the accept loop run until no connection waits, then ends the input of all connections, so that received requests are answered. Callers that come later are refused by the kernel, which the client reports as not run.

--- a/godwitthread/instance/http.py
+++ b/godwitthread/instance/http.py
@@ -12,6 +12,7 @@
 from godwitthread.errors import ErrorKind, ProxyError
 from godwitthread.instance.tls import handshake
 from godwitthread.loop import eventlet
+from godwitthread.sockets import has_no_input
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
@@ -130,6 +131,7 @@
     def stop(self) -> None:
         """Stop accepting; answer what has been received, then close the connections."""
         if self._thread is not None:
+            self._accept_waiting()
             self._pool.end_input()
             self._thread.kill()
             self._pool.waitall()
@@ -138,6 +140,11 @@
             self._tls.stop()
         self._sock.close()
 
+    def _accept_waiting(self) -> None:
+        # The kernel resets connections that are not accepted when the socket is closed.
+        while not (self._thread.dead or has_no_input(self._sock)) and self._pool.free() > 0:
+            eventlet.sleep(0)
+
     def _serve(self) -> None:
         eventlet.wsgi.server(
             self._sock,
--- a/tests/test_instance/test_stopping.py
+++ b/tests/test_instance/test_stopping.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Any
 
 import pytest
+from eventlet import patcher
 
 from godwitthread.demo.deployment import Deployment, await_condition
 from godwitthread.errors import ProxyError
@@ -92,6 +93,17 @@
     assert answer.startswith(b'HTTP/1.1 200 OK') and answer.endswith(b'{"path":"/second"}'), answer
 
 
+def test_a_request_on_a_connection_not_yet_accepted_is_answered(tmp_path: Path) -> None:
+    """Guard against a reset of connections that the kernel has accepted for the server."""
+    port, _ = connect(tmp_path, False)
+    # A socket that is not cooperative leaves the event loop no turn to accept the connection.
+    conn = patcher.original('socket').create_connection(port.address, GUARD_TIMEOUT_S)
+    send(conn, '/late')
+    port.server.stop()
+    answer = receive_all(conn)
+    assert answer.startswith(b'HTTP/1.1 200 OK') and answer.endswith(b'{"path":"/late"}'), answer
+
+
 @pytest.mark.parametrize('secure', [False, True], ids=['plain', 'tls'])
 @pytest.mark.parametrize(
     'part',
