Wait at a shutdown for the requests of other instances

Callers of an instance that forwards received an unknown outcome, at their deadline, for writes that a stopping instance had executed for them.

Cause: the drain counted requests on the caller port and open transactions only. A forwarded statement was neither, so the instance closed its peer link while the statement ran, and its answer was dropped.

Change: forwarded requests are counted with those of callers. The drain waits for them; after its limit, when new ones are refused, the instance waits until the rest have ended by their deadlines, as it did for requests on its own port. The decisions how long to wait are in core/shutdown.

--- a/godwitthread/instance/caller_application.py
+++ b/godwitthread/instance/caller_application.py
@@ -55,12 +55,9 @@
     ) -> Iterable[bytes]:
         """Handle one HTTP request."""
         state = self._state
-        state.in_flight += 1
-        try:
+        with state.running_request():
             reply = self._answer(environ)
             return write_reply(reply, start_response, close=state.leaving)
-        finally:
-            state.in_flight -= 1
 
     def _answer(self, environ: dict[str, Any]) -> Reply:
         state = self._state
--- a/godwitthread/instance/forwarding.py
+++ b/godwitthread/instance/forwarding.py
@@ -160,7 +160,8 @@
             self._state.now_ms() + message.time_left_ms,
         )
         caller = Caller(message.organisation, message.key_id) if message.key_id else None
-        return ForwardAnswer(dict(self._run(self._caller_service, message, caller, req)))
+        with self._state.running_request():
+            return ForwardAnswer(dict(self._run(self._caller_service, message, caller, req)))
 
     def _run(
         self,
--- a/godwitthread/instance/server.py
+++ b/godwitthread/instance/server.py
@@ -6,7 +6,9 @@
 from typing import TYPE_CHECKING, Any
 
 from godwitthread.clock import PauseDetector
+from godwitthread.core import shutdown
 from godwitthread.core.invariants import Promise
+from godwitthread.core.shutdown import Work
 from godwitthread.instance.backends import Backends
 from godwitthread.instance.caller_application import CallerApplication
 from godwitthread.instance.caller_service import CallerService
@@ -131,6 +133,7 @@
         self._drain(state.now_ms() + settings.drain_limit_ms)
         state.closing = True
         self._caller_server.stop()
+        self._await_answers()
         state.invariants.check(
             Promise.GRACEFUL_SHUTDOWN, state.in_flight == 0, f'{state.in_flight} requests cut'
         )
@@ -153,7 +156,14 @@
 
     def _drain(self, until_ms: int) -> None:
         state = self.state
-        while (state.in_flight or len(self.transactions)) and state.now_ms() < until_ms:
+        while shutdown.drains(
+            state.now_ms(), until_ms, Work(state.in_flight, len(self.transactions))
+        ):
+            eventlet.sleep(DRAIN_POLL_MS / 1000)
+
+    def _await_answers(self) -> None:
+        """Wait for the requests of other instances, which end at their deadlines."""
+        while shutdown.awaits_answers(Work(self.state.in_flight, len(self.transactions))):
             eventlet.sleep(DRAIN_POLL_MS / 1000)
 
     def _release_shares(self) -> None:
--- a/godwitthread/instance/state.py
+++ b/godwitthread/instance/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import secrets
 from random import Random
 from typing import TYPE_CHECKING
@@ -21,7 +22,7 @@
 from godwitthread.types import Roster, Seat
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from godwitthread.core.routing import GroupView
     from godwitthread.instance.settings import Settings
@@ -75,7 +76,7 @@
         self.on_pause: Callable[[int, int], None] = lambda now_ms, pause_ms: None
         #: Whether this instance can serve requests, with its shares or by forwarding.
         self.able_to_serve = False
-        #: Requests that are running.
+        #: Requests of callers and of other instances that are running.
         self.in_flight = 0
         self._budgets: dict[str, RetryBudget] = {}
         self._last_control_step_wall_ms = 0
@@ -130,6 +131,15 @@
             and not self.own_domain_out()
         )
 
+    @contextlib.contextmanager
+    def running_request(self) -> Iterator[None]:
+        """Count a request, for whose answer a shutdown waits."""
+        self.in_flight += 1
+        try:
+            yield
+        finally:
+            self.in_flight -= 1
+
     def require_open(self) -> None:
         """Raise SHUTTING_DOWN if the instance is closing its connections."""
         if self.closing:
