Answer the requests that run at the drain limit

A shutdown lasted until the deadlines of its callers, at most 120 s, in place of the drain limit. A supervisor that allows the drain limit kills the instance before that, and callers whose statements run then get no answer.

Cause: after the drain limit, the server waited for its running requests, and nothing ended them. Requests that waited for a connection or for a primary also waited on.

Evidence: test_a_write_that_runs_at_the_drain_limit_is_answered_as_unknown failed before: with a drain limit of 1 s the shutdown returned only after the transaction that blocked the write had expired, which takes 10 s.

Change: at the end of the drain the instance aborts its leased connections and drains its pools. A statement that was sent is answered with connection_lost, outcome unknown; a request that still waits is refused with shutting_down, not run, because the loops that choose a member check for it. Without running work nothing changes. A request that this instance has forwarded, or that runs on a member whose pool was removed, still ends at its deadline.

--- a/godwitthread/instance/backends.py
+++ b/godwitthread/instance/backends.py
@@ -139,6 +139,11 @@
         for pool in self._pools.values():
             pool.drain()
 
+    def abort(self) -> None:
+        """Refuse new requests and abort those that run, whose outcome is then unknown."""
+        for pool in self._pools.values():
+            pool.abort()
+
     def stop(self) -> None:
         """Drain and discard all pools."""
         self.drain()
--- a/godwitthread/instance/execution.py
+++ b/godwitthread/instance/execution.py
@@ -95,6 +95,7 @@
         """Return the primary that accepts writes; wait for one until the deadline."""
         view = self._state.view(database)
         while True:
+            self._state.require_open()
             now_ms = self._state.now_ms()
             member = view.primary(now_ms)
             if member is not None and self._state.takes_writes(database, member):
@@ -166,6 +167,7 @@
             request.session_position, statement.max_age_ms, request.deadline_ms
         )
         while True:
+            self._state.require_open()
             now_ms = self._state.now_ms()
             choice = view.choose_read(
                 now_ms, criteria, lambda name: self._state.takes_reads(request.database, name)
--- a/godwitthread/instance/member_pool.py
+++ b/godwitthread/instance/member_pool.py
@@ -168,6 +168,12 @@
             if lease.mode == 'write':
                 lease.conn.abort()
 
+    def abort(self) -> None:
+        """Refuse new requests and abort every leased connection."""
+        self.drain()
+        for lease in list(self._leases.values()):
+            lease.conn.abort()
+
     def drain(self) -> None:
         """Refuse new requests and close every connection once it is released."""
         if not self.table.draining:
--- a/godwitthread/instance/server.py
+++ b/godwitthread/instance/server.py
@@ -132,6 +132,7 @@
         eventlet.sleep(settings.lame_duck_ms / 1000)
         self._drain(state.now_ms() + settings.drain_limit_ms)
         state.closing = True
+        self.backends.abort()
         self._caller_server.stop()
         self._await_answers()
         state.invariants.check(
@@ -162,7 +163,7 @@
             eventlet.sleep(DRAIN_POLL_MS / 1000)
 
     def _await_answers(self) -> None:
-        """Wait for the requests of other instances, which end at their deadlines."""
+        """Wait for the answers to requests of other instances."""
         while shutdown.awaits_answers(Work(self.state.in_flight, len(self.transactions))):
             eventlet.sleep(DRAIN_POLL_MS / 1000)
 
--- a/tests/test_system/test_transactions.py
+++ b/tests/test_system/test_transactions.py
@@ -18,6 +18,8 @@
     new_id,
 )
 
+UPDATE = 'UPDATE entries SET id = $1 WHERE id = $1'
+
 
 def one_connection_each(manifest):
     """Limit each member to one connection for each of five instances."""
@@ -131,3 +133,22 @@
     assert leaving.state.in_flight == 0
     assert (count_in_log(deployment, id_), count_in_log(deployment, running)) == (1, 1)
     deployment.replace_instance(number)
+
+
+def test_a_write_that_runs_at_the_drain_limit_is_answered_as_unknown(start_own_deployment):
+    """Guard against a shutdown that outlasts its drain limit until the deadline of a caller."""
+    deployment = start_own_deployment('fjordkjol', 3, settings={'drain_limit_ms': '1000'})
+    leaving, other = deployment.instances[:2]
+    id_ = new_id()
+    holder = deployment.client(ORGANISATION, DATABASE, other)
+    holder.execute(INSERT, [id_])
+    transaction = holder.begin()
+    holder.execute(UPDATE, [id_], transaction=transaction)
+    blocked = deployment.client(ORGANISATION, DATABASE, leaving, max_attempts=1)
+    write = eventlet.spawn(attempt, blocked, id_, UPDATE, deadline_ms=20_000)
+    eventlet.sleep(0.1)
+    assert leaving.state.in_flight == 1
+    deployment.stop_instance(leaving)
+    assert len(other.transactions) == 1, 'the shutdown waited for the end of the blocked write'
+    assert write.wait()[1:] == ('unknown', 'connection_lost')
+    holder.rollback(transaction)
