Report a commit as unknown when its database leaves the manifest meanwhile

A caller whose transaction committed was told route_unknown, not run, when a new configuration without the database came into force before the answer.

Cause: the check of the authority after the answer looked the database up like a new request and raised its error, whose outcome is not run. Single statements had their outcome corrected by the executor; the commit of a transaction had not.

Evidence: test_a_commit_during_the_removal_of_its_database_is_not_reported_as_not_run failed before with not_run, route_unknown, for a write that the log of the primary contains.

Change: confirm_authority, which runs only after an answer, raises commit_unknown when the database is gone, also when it goes during the status request.

--- a/godwitthread/instance/execution.py
+++ b/godwitthread/instance/execution.py
@@ -207,15 +207,21 @@
         return ExecutionResult(result, 'primary', position)
 
     def confirm_authority(self, database: str, member: str, term: int) -> None:
-        """Verify after an answer that the member is still the primary; raise OLD_PRIMARY.
+        """Verify after an answer that the member is still the primary.
+
+        Raise OLD_PRIMARY, or COMMIT_UNKNOWN if the database was removed meanwhile.
 
         After a pause of this process the status of the member is requested first, so that
         a pause alone does not turn a confirmed write into one with unknown outcome.
         """
-        view = self._state.view(database)
         self._state.detect_pause()
-        if view.needs_probe:
+        view = self._state.views.get(database)
+        if view is not None and view.needs_probe:
             self._backends.refresh(database, member)
+            view = self._state.views.get(database)
+        if view is None:
+            text = 'the database left the manifest before the answer was confirmed'
+            raise ProxyError(ErrorKind.COMMIT_UNKNOWN, text)
         view.check_answer(term)
         view.assert_authority(term)
 
--- a/tests/test_system/test_configuration.py
+++ b/tests/test_system/test_configuration.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from godwitthread.client import RequestError
 from godwitthread.demo.deployment import await_condition
 from godwitthread.demo.fault_injection import isolate, kill
 from godwitthread.errors import ErrorKind, ProxyError
@@ -12,9 +13,11 @@
 from tests.test_system.support import (
     CHANGE_LIMIT_MS,
     DATABASE,
+    INSERT,
     ORGANISATION,
     SHORT_LIMIT_MS,
     attempt,
+    count_in_log,
     new_id,
 )
 
@@ -33,6 +36,13 @@
     return change
 
 
+def remove_database(manifest):
+    """Remove a database and its routes."""
+    databases = tuple(each for each in manifest.databases if each.name != DATABASE)
+    routes = tuple(each for each in manifest.routes if each.database != DATABASE)
+    return manifest._replace(databases=databases, routes=routes)
+
+
 def weights(deployment):
     return {each.state.directory.weights['drivers'] for each in deployment.instances}
 
@@ -127,3 +137,29 @@
     await_condition(lambda: new_instance.state.seat in new_instance.state.roster.seats, 8_000)
     await_condition(new_instance.state.is_ready)
     deployment.stop_instance(new_instance)
+
+
+def test_a_commit_during_the_removal_of_its_database_is_not_reported_as_not_run(
+    start_own_deployment, monkeypatch
+):
+    """Guard against "not run" for a commit whose database leaves the manifest meanwhile."""
+    deployment = start_own_deployment('fjordkjol', 3)
+    instance = deployment.instances[0]
+    client = deployment.client(ORGANISATION, DATABASE, instance, max_attempts=1)
+    id_ = new_id()
+    transaction = client.begin()
+    client.execute(INSERT, [id_], transaction=transaction)
+    conn = next(iter(instance.transactions._open.values())).lease.conn
+    commit = conn.commit
+
+    def commit_during_removal(**options):
+        position = commit(**options)
+        deployment.change(remove_database)
+        await_condition(lambda: DATABASE not in instance.state.views)
+        return position
+
+    monkeypatch.setattr(conn, 'commit', commit_during_removal)
+    with pytest.raises(RequestError) as caught:
+        client.commit(transaction)
+    assert count_in_log(deployment, id_) == 1
+    assert caught.value.outcome.value == 'unknown', caught.value.kind
