Report a connection lost in the TLS handshake as not run

A caller whose connection ended in the TLS handshake, as when an instance stops, was told that the outcome of its write is unknown, and the client did not repeat the write elsewhere.

Cause: urllib3 reports errors of the handshake like those of the request, and the transport treated all of them as a connection lost after the request was sent.

Evidence: test_a_connection_lost_in_the_tls_handshake_is_not_run failed before with connection_lost, unknown, for the end and for the reset of the connection.

Change: the connection class of https URLs reports a failed handshake as a failure to connect, which precedes every byte of the request. Failed verification of a certificate and errors after the handshake are reported as before.

--- a/godwitthread/client/transport.py
+++ b/godwitthread/client/transport.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import urllib3
+from urllib3.connection import HTTPSConnection
 from urllib3.exceptions import (
     ConnectTimeoutError,
     HTTPError,
@@ -127,7 +128,10 @@
 
     def _open_pool(self, url: str) -> Any:
         tls = {'ca_certs': self._ca_file} if url.startswith('https:') else {}
-        return urllib3.connection_from_url(url, maxsize=self._max_idle, block=False, **tls)
+        pool = urllib3.connection_from_url(url, maxsize=self._max_idle, block=False, **tls)
+        if tls:
+            pool.ConnectionCls = _TlsConnection
+        return pool
 
     def _replace_pool(self, url: str) -> None:
         # An idle connection through a load balancer would reach the same instance again.
@@ -135,6 +139,19 @@
         old.close()
 
 
+class _TlsConnection(HTTPSConnection):
+    """TLS connection that reports a failed handshake as a failure to connect."""
+
+    def connect(self) -> None:
+        try:
+            super().connect()
+        except ssl.SSLCertVerificationError:
+            raise
+        except OSError as exc:
+            # The handshake precedes every byte of the request.
+            raise NewConnectionError(self, f'TLS handshake failed: {exc!r}') from exc
+
+
 def _encode_body(body: dict[str, Any]) -> bytes:
     try:
         return json.dumps(body, separators=(',', ':'), allow_nan=False).encode()
--- a/tests/test_client/test_client.py
+++ b/tests/test_client/test_client.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import socket
+import struct
 import sys
+import threading
 from random import Random
 from typing import TYPE_CHECKING, Any
 
@@ -21,9 +23,11 @@
     error_answer,
     success,
 )
+from tests.test_tls.pem import write_pair
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
+    from pathlib import Path
 
 
 @pytest.fixture
@@ -161,6 +165,28 @@
     assert exc.outcome is Outcome.NOT_RUN
 
 
+@pytest.mark.parametrize('reset', [False, True], ids=['end', 'reset'])
+def test_a_connection_lost_in_the_tls_handshake_is_not_run(tmp_path: Path, reset: bool) -> None:
+    """Guard against an unknown outcome of a write that was never sent."""
+    chain, _ = write_pair(tmp_path)
+    listener = socket.create_server(('127.0.0.1', 0))
+
+    def close_after_first_message() -> None:
+        sock, _ = listener.accept()
+        sock.recv(65_536)
+        if reset:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
+        sock.close()
+
+    thread = threading.Thread(target=close_after_first_message)
+    thread.start()
+    url = f'https://127.0.0.1:{listener.getsockname()[1]}'
+    exc = failure(Client(url, route='orders', ca_file=chain, max_attempts=1))
+    thread.join()
+    listener.close()
+    assert (exc.kind, exc.outcome) == (ErrorKind.BACKEND_UNAVAILABLE, Outcome.NOT_RUN)
+
+
 def test_moved_is_retried_elsewhere_on_a_new_connection(
     start_server: Callable[..., ScriptedServer],
 ) -> None:
