End forwarded requests at the drain limit

A shutdown lasted until the deadlines of callers whose requests another instance executed, in place of the drain limit; a supervisor that kills the instance before that leaves them without an answer.

Cause: such a request waits for the answer of the peer, holds no connection to a member, and nothing ended its wait at the drain limit.

Evidence: test_a_request_that_another_instance_runs_at_the_drain_limit_is_answered failed before: with a drain limit of 1 s the shutdown returned only after the other instance had answered, 5 s later.

Change: at the end of the drain the forwarder ends its pending calls. A call that is still in the queue of its peer is removed and refused with shutting_down, not run; any other is answered with connection_lost, outcome unknown. Heartbeats and calls of the control tasks continue.

--- a/godwitthread/instance/forwarding.py
+++ b/godwitthread/instance/forwarding.py
@@ -88,6 +88,10 @@
         """Begin a transaction on an instance of the serving set."""
         return self._call(self._serving_seat(admitted), 'begin', admitted.caller, req)
 
+    def abort(self) -> None:
+        """End the forwarded requests that await an answer; their outcome may be unknown."""
+        self._link.abandon_calls('forward_request')
+
     def _serving_seat(self, admitted: AdmittedRequest) -> Seat:
         seats = self._state.placement.serving_set(admitted.route.database)
         own = self._state.seat.failure_domain
--- a/godwitthread/instance/server.py
+++ b/godwitthread/instance/server.py
@@ -133,6 +133,7 @@
         self._drain(state.now_ms() + settings.drain_limit_ms)
         state.closing = True
         self.backends.abort()
+        self.forwarder.abort()
         self._caller_server.stop()
         self._await_answers()
         state.invariants.check(
--- a/godwitthread/peers/link.py
+++ b/godwitthread/peers/link.py
@@ -11,7 +11,7 @@
 from godwitthread.errors import ErrorKind, ProxyError
 from godwitthread.loop import eventlet
 from godwitthread.peers import codec
-from godwitthread.peers.calls import PendingCalls, deadline_error
+from godwitthread.peers.calls import PendingCalls, deadline_error, shutdown_error
 from godwitthread.peers.codec import Envelope
 from godwitthread.peers.outbox import Message, Outbox
 from godwitthread.peers.sockets import MAX_MESSAGE_BYTES, open_socket, wait_readable
@@ -119,8 +119,9 @@
     def call(self, seat: Seat, body: Any, timeout_ms: int) -> Any:
         """Call a peer and return its response; raise ProxyError with the known outcome."""
         address = _address(seat)
-        call_id = self._calls.open()
-        envelope = self._envelope(body)._replace(call_id=call_id, reply_to=_address(self.seat))
+        envelope = self._envelope(body)
+        call_id = self._calls.open(envelope.kind)
+        envelope = envelope._replace(call_id=call_id, reply_to=_address(self.seat))
         if not self._send_envelope(address, envelope, critical=True):
             self._calls.cancel(call_id)
             raise ProxyError(
@@ -133,6 +134,13 @@
             raise deadline_error(outbox is None or not outbox.cancel(call_id))
         return response
 
+    def abandon_calls(self, kind: str) -> None:
+        """End the calls of a kind that await a response, with the outcome known so far."""
+        for call_id in self._calls.of_kind(kind):
+            unsent = any(outbox.cancel(call_id) for outbox in self._outboxes.values())
+            error = shutdown_error(left_queue=not unsent)
+            self._calls.resolve(call_id, codec.failure_from_error(error))
+
     def counters(self) -> dict[str, Counter[str]]:
         """Return all counters by name."""
         dropped = self.dropped + Counter(late_answer=self._calls.late_answers)
