Route a request again when its member leaves the manifest before it is sent

A caller was told promise_violated, outcome unknown, for a read that had not been sent, and the violation was counted, when a new configuration removed the member between the assignment of a connection and the use of it.

Cause: the check of the promises before sending requires that the member is in the manifest in force, but nothing routed the request again. Writes look the primary up again and were not affected; the window of reads and of the begin of a transaction is one turn of the event loop.

Evidence: test_a_read_is_routed_again_when_its_member_leaves_the_manifest, which holds that window open, failed before with unknown, promise_violated.

Change: a member that is gone is backend_unavailable, not run, before the check; the executor then chooses another member. The check itself is unchanged.

--- a/godwitthread/instance/admission.py
+++ b/godwitthread/instance/admission.py
@@ -111,6 +111,13 @@
     return directory
 
 
+def require_member(state: InstanceState, database: str, member: str) -> None:
+    """Raise BACKEND_UNAVAILABLE if a member left the manifest while a request waited for it."""
+    if state.member(database, member) is None:
+        text = f'{member} is no longer a member of {database}'
+        raise ProxyError(ErrorKind.BACKEND_UNAVAILABLE, text, retry_after_ms=0)
+
+
 def check_send_invariants(
     state: InstanceState, admitted: AdmittedRequest, directory: Directory, member: str
 ) -> None:
--- a/godwitthread/instance/execution.py
+++ b/godwitthread/instance/execution.py
@@ -16,7 +16,12 @@
 from godwitthread.core.routing import ReadRequirements, ReadTarget
 from godwitthread.core.session_state import may_change_session
 from godwitthread.errors import ErrorKind, Outcome, ProxyError
-from godwitthread.instance.admission import AdmittedRequest, check_send_invariants, revalidate
+from godwitthread.instance.admission import (
+    AdmittedRequest,
+    check_send_invariants,
+    require_member,
+    revalidate,
+)
 from godwitthread.instance.protocol import Statement
 from godwitthread.loop import eventlet
 from godwitthread.types import Position
@@ -259,6 +264,7 @@
         action: Callable[[], Result],
     ) -> Result:
         directory = revalidate(self._state, request.admitted)
+        require_member(self._state, request.database, lease.member)
         if request.statement.mode == 'write' or request.statement.strict:
             self._require_primary(request, view, lease.member)
         check_send_invariants(self._state, request.admitted, directory, lease.member)
--- a/godwitthread/instance/transactions.py
+++ b/godwitthread/instance/transactions.py
@@ -7,7 +7,7 @@
 from godwitthread.core.invariants import Promise
 from godwitthread.core.token import TransactionId
 from godwitthread.errors import ErrorKind, Outcome, ProxyError
-from godwitthread.instance.admission import check_send_invariants, revalidate
+from godwitthread.instance.admission import check_send_invariants, require_member, revalidate
 from godwitthread.instance.execution import ANSWER_RESERVE_MS
 from godwitthread.loop import eventlet
 
@@ -72,7 +72,9 @@
             database, member, 'write', admitted.account, f'transaction/{number}', deadline_ms
         )
         try:
-            check_send_invariants(state, admitted, revalidate(state, admitted), member)
+            directory = revalidate(state, admitted)
+            require_member(state, database, member)
+            check_send_invariants(state, admitted, directory, member)
             lease.dirty = True
             with lease.exchange(f'begin/{number}') as conn:
                 conn.begin(timeout_ms=self._time_left_ms(deadline_ms))
--- a/tests/test_system/test_configuration.py
+++ b/tests/test_system/test_configuration.py
@@ -12,6 +12,7 @@
 from godwitthread.manifest.changes import withdraw_key
 from tests.test_system.support import (
     CHANGE_LIMIT_MS,
+    COUNT,
     DATABASE,
     INSERT,
     ORGANISATION,
@@ -43,6 +44,19 @@
     return manifest._replace(databases=databases, routes=routes)
 
 
+def remove_member(name):
+    """Return a change that removes a member from its group."""
+
+    def change(manifest):
+        databases = tuple(
+            each._replace(members=tuple(one for one in each.members if one.name != name))
+            for each in manifest.databases
+        )
+        return manifest._replace(databases=databases)
+
+    return change
+
+
 def weights(deployment):
     return {each.state.directory.weights['drivers'] for each in deployment.instances}
 
@@ -163,3 +177,25 @@
         client.commit(transaction)
     assert count_in_log(deployment, id_) == 1
     assert caught.value.outcome.value == 'unknown', caught.value.kind
+
+
+def test_a_read_is_routed_again_when_its_member_leaves_the_manifest(
+    start_own_deployment, monkeypatch
+):
+    """Guard against a violation and an unknown outcome of a read that was not sent."""
+    deployment = start_own_deployment('fjordkjol', 3)
+    instance = deployment.instances[0]
+    lease_connection, removed = instance.executor._lease, []
+
+    def lease_during_removal(request, member, mode):
+        lease = lease_connection(request, member, mode)
+        if not removed:
+            removed.append(member)
+            deployment.change(remove_member(member))
+            await_condition(lambda: instance.state.member(DATABASE, member) is None)
+        return lease
+
+    monkeypatch.setattr(instance.executor, '_lease', lease_during_removal)
+    client = deployment.client(ORGANISATION, DATABASE, instance, max_attempts=1)
+    assert attempt(client, new_id(), COUNT, mode='read')[1:] == ('done', '')
+    assert removed and removed[0] != deployment.groups[DATABASE].primary().name
