--- a/godwitthread/core/shutdown.py
+++ b/godwitthread/core/drain.py
@@ -1,4 +1,7 @@
-"""Decisions of a graceful shutdown: how long it waits for running work, without I/O."""
+"""Whether an instance of the HTTP interface waits for work while it stops.
+
+Load pattern: requests and transactions that outlast the drain limit, and requests of other instances.
+"""
 
 from __future__ import annotations
 
@@ -14,12 +17,12 @@
     transactions: int
 
 
-def drains(now_ms: int, until_ms: int, work: Work) -> bool:
+def waits_for_work(now_ms: int, until_ms: int, work: Work) -> bool:
     """Return whether to wait until new work is refused."""
     return now_ms < until_ms and (work.requests > 0 or work.transactions > 0)
 
 
-def awaits_answers(work: Work) -> bool:
+def waits_for_answers(work: Work) -> bool:
     """Return whether to wait for running requests once new work is refused.
 
     Each of them ends by its deadline; an open transaction without a request does not.
--- a/godwitthread/instance/server.py
+++ b/godwitthread/instance/server.py
@@ -6,9 +6,9 @@
 from typing import TYPE_CHECKING, Any
 
 from godwitthread.clock import PauseDetector
-from godwitthread.core import shutdown
+from godwitthread.core import drain
 from godwitthread.core.invariants import Promise
-from godwitthread.core.shutdown import Work
+from godwitthread.core.drain import Work
 from godwitthread.instance.backends import Backends
 from godwitthread.instance.caller_application import CallerApplication
 from godwitthread.instance.caller_service import CallerService
@@ -158,14 +158,14 @@
 
     def _drain(self, until_ms: int) -> None:
         state = self.state
-        while shutdown.drains(
+        while drain.waits_for_work(
             state.now_ms(), until_ms, Work(state.in_flight, len(self.transactions))
         ):
             eventlet.sleep(DRAIN_POLL_MS / 1000)
 
     def _await_answers(self) -> None:
         """Wait for the answers to requests of other instances."""
-        while shutdown.awaits_answers(Work(self.state.in_flight, len(self.transactions))):
+        while drain.waits_for_answers(Work(self.state.in_flight, len(self.transactions))):
             eventlet.sleep(DRAIN_POLL_MS / 1000)
 
     def _release_shares(self) -> None:
