--- a/godwitthread/instance/caller_application.py
+++ b/godwitthread/instance/caller_application.py
@@ -55,12 +55,9 @@
     ) -> Iterable[bytes]:
         """Handle one HTTP request."""
         state = self._state
-        state.in_flight += 1
-        try:
+        with state.running_request():
             reply = self._answer(environ)
             return write_reply(reply, start_response, close=state.leaving)
-        finally:
-            state.in_flight -= 1
 
     def _answer(self, environ: dict[str, Any]) -> Reply:
         state = self._state
@@ -89,9 +86,17 @@
         operation = self._operations.get(path)
         if operation is None or environ['REQUEST_METHOD'] != 'POST':
             raise ProxyError(ErrorKind.NOT_FOUND, 'no such operation')
-        deadline_ms = protocol.decode_deadline(environ.get('HTTP_GODWITTHREAD_DEADLINE_MS'), now_ms)
-        body = read_body(environ)
-        return json_reply(operation(bearer_credential(environ), body, request_id, deadline_ms))
+        header = environ.get('HTTP_GODWITTHREAD_DEADLINE_MS')
+        try:
+            deadline_ms = protocol.decode_deadline(header, now_ms)
+            body = read_body(environ)
+            answer = operation(bearer_credential(environ), body, request_id, deadline_ms)
+        except ProxyError as exc:
+            if exc.kind is ErrorKind.MALFORMED_REQUEST:
+                # An instance that closes ends the input, which cuts requests that still arrive.
+                self._state.require_open()
+            raise
+        return json_reply(answer)
 
     def _operation(self, path: str) -> str:
         # An unknown path may contain a secret, and would make the label set unbounded.
--- a/godwitthread/instance/execution.py
+++ b/godwitthread/instance/execution.py
@@ -16,7 +16,12 @@
 from godwitthread.core.routing import ReadRequirements, ReadTarget
 from godwitthread.core.session_state import may_change_session
 from godwitthread.errors import ErrorKind, Outcome, ProxyError
-from godwitthread.instance.admission import AdmittedRequest, check_send_invariants, revalidate
+from godwitthread.instance.admission import (
+    AdmittedRequest,
+    check_send_invariants,
+    require_member,
+    revalidate,
+)
 from godwitthread.instance.protocol import Statement
 from godwitthread.loop import eventlet
 from godwitthread.types import Position
@@ -95,6 +100,7 @@
         """Return the primary that accepts writes; wait for one until the deadline."""
         view = self._state.view(database)
         while True:
+            self._state.require_open()
             now_ms = self._state.now_ms()
             member = view.primary(now_ms)
             if member is not None and self._state.takes_writes(database, member):
@@ -166,6 +172,7 @@
             request.session_position, statement.max_age_ms, request.deadline_ms
         )
         while True:
+            self._state.require_open()
             now_ms = self._state.now_ms()
             choice = view.choose_read(
                 now_ms, criteria, lambda name: self._state.takes_reads(request.database, name)
@@ -205,15 +212,21 @@
         return ExecutionResult(result, 'primary', position)
 
     def confirm_authority(self, database: str, member: str, term: int) -> None:
-        """Verify after an answer that the member is still the primary; raise OLD_PRIMARY.
+        """Verify after an answer that the member is still the primary.
+
+        Raise OLD_PRIMARY, or COMMIT_UNKNOWN if the database was removed meanwhile.
 
         After a pause of this process the status of the member is requested first, so that
         a pause alone does not turn a confirmed write into one with unknown outcome.
         """
-        view = self._state.view(database)
         self._state.detect_pause()
-        if view.needs_probe:
+        view = self._state.views.get(database)
+        if view is not None and view.needs_probe:
             self._backends.refresh(database, member)
+            view = self._state.views.get(database)
+        if view is None:
+            text = 'the database left the manifest before the answer was confirmed'
+            raise ProxyError(ErrorKind.COMMIT_UNKNOWN, text)
         view.check_answer(term)
         view.assert_authority(term)
 
@@ -251,6 +264,7 @@
         action: Callable[[], Result],
     ) -> Result:
         directory = revalidate(self._state, request.admitted)
+        require_member(self._state, request.database, lease.member)
         if request.statement.mode == 'write' or request.statement.strict:
             self._require_primary(request, view, lease.member)
         check_send_invariants(self._state, request.admitted, directory, lease.member)
--- a/godwitthread/instance/forwarding.py
+++ b/godwitthread/instance/forwarding.py
@@ -88,6 +88,10 @@
         """Begin a transaction on an instance of the serving set."""
         return self._call(self._serving_seat(admitted), 'begin', admitted.caller, req)
 
+    def abort(self) -> None:
+        """End the forwarded requests that await an answer; their outcome may be unknown."""
+        self._link.abandon_calls('forward_request')
+
     def _serving_seat(self, admitted: AdmittedRequest) -> Seat:
         seats = self._state.placement.serving_set(admitted.route.database)
         own = self._state.seat.failure_domain
@@ -160,7 +164,8 @@
             self._state.now_ms() + message.time_left_ms,
         )
         caller = Caller(message.organisation, message.key_id) if message.key_id else None
-        return ForwardAnswer(dict(self._run(self._caller_service, message, caller, req)))
+        with self._state.running_request():
+            return ForwardAnswer(dict(self._run(self._caller_service, message, caller, req)))
 
     def _run(
         self,
--- a/godwitthread/instance/server.py
+++ b/godwitthread/instance/server.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING, Any
 
 from godwitthread.clock import PauseDetector
+from godwitthread.core import drain
+from godwitthread.core.drain import Work
 from godwitthread.core.invariants import Promise
 from godwitthread.instance.backends import Backends
 from godwitthread.instance.caller_application import CallerApplication
@@ -130,7 +132,10 @@
         eventlet.sleep(settings.lame_duck_ms / 1000)
         self._drain(state.now_ms() + settings.drain_limit_ms)
         state.closing = True
+        self.backends.abort()
+        self.forwarder.abort()
         self._caller_server.stop()
+        self._await_answers()
         state.invariants.check(
             Promise.GRACEFUL_SHUTDOWN, state.in_flight == 0, f'{state.in_flight} requests cut'
         )
@@ -153,7 +158,14 @@
 
     def _drain(self, until_ms: int) -> None:
         state = self.state
-        while (state.in_flight or len(self.transactions)) and state.now_ms() < until_ms:
+        while drain.waits_for_work(
+            state.now_ms(), until_ms, Work(state.in_flight, len(self.transactions))
+        ):
+            eventlet.sleep(DRAIN_POLL_MS / 1000)
+
+    def _await_answers(self) -> None:
+        """Wait for the answers to requests of other instances."""
+        while drain.waits_for_answers(Work(self.state.in_flight, len(self.transactions))):
             eventlet.sleep(DRAIN_POLL_MS / 1000)
 
     def _release_shares(self) -> None:
--- a/godwitthread/instance/state.py
+++ b/godwitthread/instance/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import secrets
 from random import Random
 from typing import TYPE_CHECKING
@@ -21,7 +22,7 @@
 from godwitthread.types import Roster, Seat
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from godwitthread.core.routing import GroupView
     from godwitthread.instance.settings import Settings
@@ -75,7 +76,7 @@
         self.on_pause: Callable[[int, int], None] = lambda now_ms, pause_ms: None
         #: Whether this instance can serve requests, with its shares or by forwarding.
         self.able_to_serve = False
-        #: Requests that are running.
+        #: Requests of callers and of other instances that are running.
         self.in_flight = 0
         self._budgets: dict[str, RetryBudget] = {}
         self._last_control_step_wall_ms = 0
@@ -130,10 +131,23 @@
             and not self.own_domain_out()
         )
 
-    def require_ready(self) -> Directory:
-        """Return the directory in force; raise ProxyError if the instance can't serve."""
+    @contextlib.contextmanager
+    def running_request(self) -> Iterator[None]:
+        """Count a request, for whose answer a shutdown waits."""
+        self.in_flight += 1
+        try:
+            yield
+        finally:
+            self.in_flight -= 1
+
+    def require_open(self) -> None:
+        """Raise SHUTTING_DOWN if the instance is closing its connections."""
         if self.closing:
             raise ProxyError(ErrorKind.SHUTTING_DOWN, 'the instance is shutting down')
+
+    def require_ready(self) -> Directory:
+        """Return the directory in force; raise ProxyError if the instance can't serve."""
+        self.require_open()
         if self.directory is None or not self.is_fresh():
             text = 'the instance has no evidence that its configuration is current'
             raise ProxyError(ErrorKind.STALE_CONFIGURATION, text, retry_after_ms=500)
--- a/tests/test_system/test_configuration.py
+++ b/tests/test_system/test_configuration.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from godwitthread.client import RequestError
 from godwitthread.demo.deployment import await_condition
 from godwitthread.demo.fault_injection import isolate, kill
 from godwitthread.errors import ErrorKind, ProxyError
@@ -11,10 +12,13 @@
 from godwitthread.manifest.changes import withdraw_key
 from tests.test_system.support import (
     CHANGE_LIMIT_MS,
+    COUNT,
     DATABASE,
+    INSERT,
     ORGANISATION,
     SHORT_LIMIT_MS,
     attempt,
+    count_in_log,
     new_id,
 )
 
@@ -33,6 +37,26 @@
     return change
 
 
+def remove_database(manifest):
+    """Remove a database and its routes."""
+    databases = tuple(each for each in manifest.databases if each.name != DATABASE)
+    routes = tuple(each for each in manifest.routes if each.database != DATABASE)
+    return manifest._replace(databases=databases, routes=routes)
+
+
+def remove_member(name):
+    """Return a change that removes a member from its group."""
+
+    def change(manifest):
+        databases = tuple(
+            each._replace(members=tuple(one for one in each.members if one.name != name))
+            for each in manifest.databases
+        )
+        return manifest._replace(databases=databases)
+
+    return change
+
+
 def weights(deployment):
     return {each.state.directory.weights['drivers'] for each in deployment.instances}
 
@@ -127,3 +151,51 @@
     await_condition(lambda: new_instance.state.seat in new_instance.state.roster.seats, 8_000)
     await_condition(new_instance.state.is_ready)
     deployment.stop_instance(new_instance)
+
+
+def test_a_commit_during_the_removal_of_its_database_is_not_reported_as_not_run(
+    start_own_deployment, monkeypatch
+):
+    """Guard against "not run" for a commit whose database leaves the manifest meanwhile."""
+    deployment = start_own_deployment('fjordkjol', 3)
+    instance = deployment.instances[0]
+    client = deployment.client(ORGANISATION, DATABASE, instance, max_attempts=1)
+    id_ = new_id()
+    transaction = client.begin()
+    client.execute(INSERT, [id_], transaction=transaction)
+    conn = next(iter(instance.transactions._open.values())).lease.conn
+    commit = conn.commit
+
+    def commit_during_removal(**options):
+        position = commit(**options)
+        deployment.change(remove_database)
+        await_condition(lambda: DATABASE not in instance.state.views)
+        return position
+
+    monkeypatch.setattr(conn, 'commit', commit_during_removal)
+    with pytest.raises(RequestError) as caught:
+        client.commit(transaction)
+    assert count_in_log(deployment, id_) == 1
+    assert caught.value.outcome.value == 'unknown', caught.value.kind
+
+
+def test_a_read_is_routed_again_when_its_member_leaves_the_manifest(
+    start_own_deployment, monkeypatch
+):
+    """Guard against a violation and an unknown outcome of a read that was not sent."""
+    deployment = start_own_deployment('fjordkjol', 3)
+    instance = deployment.instances[0]
+    lease_connection, removed = instance.executor._lease, []
+
+    def lease_during_removal(request, member, mode):
+        lease = lease_connection(request, member, mode)
+        if not removed:
+            removed.append(member)
+            deployment.change(remove_member(member))
+            await_condition(lambda: instance.state.member(DATABASE, member) is None)
+        return lease
+
+    monkeypatch.setattr(instance.executor, '_lease', lease_during_removal)
+    client = deployment.client(ORGANISATION, DATABASE, instance, max_attempts=1)
+    assert attempt(client, new_id(), COUNT, mode='read')[1:] == ('done', '')
+    assert removed and removed[0] != deployment.groups[DATABASE].primary().name
