End no transaction while its statement runs, and end those of a removed group

Callers got an unknown outcome for a commit that began just before the idle limit of transactions: housekeeping closed its connection, since the time of last use is set after a statement only. Transactions of a group that a configuration removed stayed open at the member until the process ended.

A connection with a running statement is marked, and neither housekeeping nor a stop ends its transaction; the mark is on the connection, so that a late statement of an earlier transaction can't clear it. A removed group ends its transactions.

--- a/godwitthread/gateway/group_runner.py
+++ b/godwitthread/gateway/group_runner.py
@@ -87,8 +87,8 @@
         #: Returns 0 if the operation is admitted, else the delay before a retry, in ms.
         self._admit = admit
         self._transactions: dict[tuple[str, int], OpenTransaction] = {}
-        #: Transactions in which a statement is running.
-        self._running_transactions: set[tuple[str, int]] = set()
+        #: Connections of transactions in which a statement is running.
+        self._busy: set[Connection] = set()
 
     def run(self, sender: str, req: RunRequest) -> Result:
         """Execute a statement of a session and return its result."""
@@ -128,9 +128,16 @@
     def end_idle_transactions(self) -> None:
         """Roll back the transactions in which no statement is running."""
         for key, tx in list(self._transactions.items()):
-            if key not in self._running_transactions:
+            if tx.conn not in self._busy:
                 self._end_transaction(key, tx, clean=False)
 
+    def close(self) -> None:
+        """End all transactions, after their running statements, and keep no idle connections."""
+        self.disable_pooling()
+        while self._transactions:
+            self.end_idle_transactions()
+            eventlet.sleep(TICK_MS / 1000)
+
     def end_sender(self, sender: str) -> None:
         """Roll back the transactions of a peer connection that has ended."""
         for key, tx in list(self._transactions.items()):
@@ -150,7 +157,7 @@
             if now_ms - since_ms > EVACUATED_TX_MS:
                 self.end_transactions(member_id)
         for key, tx in list(self._transactions.items()):
-            if now_ms - tx.conn.used_ms > self._tx_idle_ms:
+            if tx.conn not in self._busy and now_ms - tx.conn.used_ms > self._tx_idle_ms:
                 self._log.failure('transaction_idle', session=key[1], member=tx.member)
                 self._end_transaction(key, tx, clean=False)
         age_ms = self.evidence.age_ms(now_ms)
@@ -319,11 +326,11 @@
                 return begun
             tx = self._transactions[key] = begun
         commit = req.action is Action.COMMIT
-        self._running_transactions.add(key)
+        self._busy.add(tx.conn)
         try:
             sent_ms, reply = self._run_in(tx, req, deadline_ms, commit)
         finally:
-            self._running_transactions.discard(key)
+            self._busy.discard(tx.conn)
         tx.conn.used_ms = self._clock.now_ms()
         if tx.on_primary and reply.refusal is None and not self.may_acknowledge(tx.epoch):
             reply = Reply(refusal=Refusal.LOST, message=UNCONFIRMED)
@@ -394,7 +401,8 @@
         self, key: tuple[str, int], tx: OpenTransaction, *, clean: bool, ended: bool = False
     ) -> None:
         """End a transaction; close its connection unless that is known to be reusable."""
-        self._transactions.pop(key, None)
+        if self._transactions.get(key) is tx:
+            del self._transactions[key]
         if clean and not ended and not tx.conn.closed:
             reply = tx.conn.rollback(INTERNAL_TIMEOUT_MS)
             clean = reply.refusal is None
--- a/godwitthread/gateway/ownership_manager.py
+++ b/godwitthread/gateway/ownership_manager.py
@@ -75,7 +75,7 @@
 
     def remove(self, name: str) -> None:
         """Remove a group that is no longer in the configuration."""
-        self._groups.pop(name).runner.disable_pooling()
+        eventlet.spawn_n(self._groups.pop(name).runner.close)
         self.owned.discard(name)
         self._draining_groups.discard(name)
 
--- a/tests/test_gateway/test_group_runner.py
+++ b/tests/test_gateway/test_group_runner.py
@@ -231,6 +231,35 @@
     assert made.run('a', request('COMMIT', Action.COMMIT, first=False)).error == 'transaction_lost'
 
 
+@pytest.mark.parametrize('end', ['tick', 'end_idle_transactions'])
+def test_a_running_commit_is_not_ended_as_idle(end):
+    """Guard against a commit of unknown outcome that began just before the idle limit."""
+    group = FakeGroup()
+    made = runner(group)
+    made.run('a', request('WRITE i x', Action.IN_TRANSACTION, writes=True))
+    made.update(*_update(group, tx_idle_ms=-1))
+    conn = group.connections[-1]
+    execute, committed = conn.run, []
+
+    def run(*args):
+        made.tick(True) if end == 'tick' else made.end_idle_transactions()
+        committed.append(not conn.closed)
+        return execute(*args)
+
+    conn.run = run
+    made.run('a', request('COMMIT', Action.COMMIT, first=False))
+    assert committed == [True]
+
+
+def test_transactions_end_when_their_group_is_removed():
+    """Guard against connections that stay open after a configuration removed the group."""
+    group = FakeGroup()
+    made = runner(group)
+    made.run('a', request('WRITE i x', Action.IN_TRANSACTION, writes=True))
+    made.close()
+    assert group.connections[-1].closed
+
+
 def _update(group, entries=None, evacuated=frozenset(), tx_idle_ms=3_000):
     return GROUP, entries or members(group), set(evacuated), tx_idle_ms
 
--- a/tests/test_gateway/test_ownership_manager.py
+++ b/tests/test_gateway/test_ownership_manager.py
@@ -29,6 +29,9 @@
     def enable_pooling(self):
         self.calls.append('enable_pooling')
 
+    def close(self):
+        self.calls.append('close')
+
     def has_open_work(self):
         return self.busy
 
