Deliver results that have arrived, and one answer only, when a process ends

One more interval now passes before the final answers, also after the last piece of work, and statements that wait for an owner are refused in it as not run. - A caller that does not read delayed the answers of others by 100 ms each, and a statement that ended meanwhile was answered twice. Final answers are sent at once, and a session that has its final answer sends no other. - After an unexpected error in the first statement or the commit of a transaction, the owner kept the transaction open until its idle limit. It is rolled back. - An instance without a majority accepted sessions again when it was stopped. Phases only advance now. - A second SIGTERM in the same iteration of the event loop logged an AssertionError.

--- a/godwitthread/core/shutdown.py
+++ b/godwitthread/core/shutdown.py
@@ -17,8 +17,8 @@
 LAME_DUCK_SHARE = 0.4
 #: Share of the grace period after which open transactions are rolled back.
 TRANSACTION_SHARE = 0.5
-#: Time before the end of the grace period at which unanswered statements get a final answer, in
-#: ms. A slow process needs it to send the answers and to exit before it is killed.
+#: Time before the end of the grace period at which the last phase begins, in ms. It covers an
+#: interval of the check, the final answers and the exit, also of a slow process.
 EXIT_MARGIN_MS = 700
 
 
@@ -29,7 +29,8 @@
     #: New sessions are accepted, but every session ends after its next operation. The caller has no
     #: request under way then, while a request could cross the close of an idle connection.
     LAME_DUCK = 1
-    #: New sessions are refused, and sessions end when they are idle; open transactions go on.
+    #: New sessions are refused, and sessions end when they are idle; open transactions go on. An
+    #: instance that reaches no majority does the same until it reaches one.
     DRAINING = 2
     #: Sessions end, and open transactions are rolled back, as soon as no statement is running.
     ABORTING = 3
@@ -37,11 +38,19 @@
     STOPPING = 4
 
 
-def phase(elapsed_ms: int, grace_ms: int, out_of_rotation: bool, busy: bool) -> Phase:
-    """Return the phase at a time after the request to stop, in ms."""
-    if elapsed_ms >= grace_ms - EXIT_MARGIN_MS:
+def is_over(elapsed_ms: int, grace_ms: int) -> bool:
+    """Return whether the process ends although work is open."""
+    return elapsed_ms >= grace_ms - EXIT_MARGIN_MS
+
+
+def phase(elapsed_ms: int, grace_ms: int, serving: bool, busy: bool) -> Phase:
+    """Return the phase at a time after the request to stop, in ms.
+
+    `serving` tells whether new callers still arrive and can be served.
+    """
+    if is_over(elapsed_ms, grace_ms):
         return Phase.STOPPING
-    if not out_of_rotation and elapsed_ms < grace_ms * LAME_DUCK_SHARE:
+    if serving and elapsed_ms < grace_ms * LAME_DUCK_SHARE:
         return Phase.LAME_DUCK
     if not busy and elapsed_ms >= PEER_NOTICE_MS:
         return Phase.STOPPING
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -201,7 +201,8 @@
                 not_run = exc.kind in (ErrorKind.BACKEND_UNAVAILABLE, ErrorKind.MOVED)
                 if not not_run and not is_repeatable(req):
                     return unknown_outcome(req, exc.message), owner
-                if self.clock.now_ms() + ROUTE_RETRY_MS >= started_ms + wait_ms:
+                over = self.clock.now_ms() + ROUTE_RETRY_MS >= started_ms + wait_ms
+                if over or self.sessions.phase is Phase.STOPPING:
                     if not not_run:
                         return failure(ErrorKind.CONNECTION_LOST, exc.message), owner
                     kind = ErrorKind.BACKEND_UNAVAILABLE
@@ -418,7 +419,7 @@
         if self.leaving or self.ownership_manager.has_majority():
             self._minority_since_ms = 0
             if not self.leaving:
-                self.sessions.phase = Phase.SERVING
+                self.sessions.enter(Phase.SERVING)
             return
         self._minority_since_ms = self._minority_since_ms or now_ms
         if self._ready_to_own and now_ms - self._minority_since_ms >= MINORITY_GRACE_MS:
--- a/godwitthread/gateway/sessions.py
+++ b/godwitthread/gateway/sessions.py
@@ -41,7 +41,7 @@
 
 #: Delay after which a refused caller can reach another instance, in ms.
 RECONNECT_DELAY_MS = 30
-#: Time limit for sending a final answer, in ms; a caller that does not read would delay the exit.
+#: Time limit for sending the final answers, in ms; a caller that does not read delays the exit.
 FINAL_ANSWER_TIMEOUT_MS = 100
 CLOSING = 'the instance closes its sessions'
 STOPPED = 'the instance stopped'
@@ -125,8 +125,13 @@
 
     def answer_running(self) -> None:
         """Send a final answer to the callers of running statements, before the process ends."""
+        pool = eventlet.GreenPool()
         for session in list(self._open.values()):
-            session.answer_running()
+            result = session.abandon()
+            if result is not None:
+                pool.spawn_n(session.send, result)
+        with eventlet.Timeout(FINAL_ANSWER_TIMEOUT_MS / 1000, False):
+            pool.waitall()
 
     def busy(self) -> int:
         """Return the number of sessions with unfinished work: see `Session.busy`."""
@@ -154,7 +159,7 @@
         self.running = False
         #: Whether the answer is being sent.
         self.answering = False
-        #: Whether this instance closed the connection.
+        #: Whether this instance closed the connection, or sent its final answer.
         self.closed = False
         #: Whether the last statement ended an operation, so that the caller awaits nothing more.
         self._operation_ended = False
@@ -194,10 +199,16 @@
             self.closed = True
             self._port.close()
 
-    def answer_running(self) -> None:
-        """Answer a running statement, whose outcome remains unknown as the process ends."""
+    def send(self, result: Result) -> None:
+        """Send an answer to the caller unless the connection has ended."""
+        with contextlib.suppress(OSError):
+            if self._port is not None:
+                self._port.answer(result)
+
+    def abandon(self) -> Result | None:
+        """Return the final answer to a running statement; its own result is not sent any more."""
         if self._port is None or self.closed or self.answering or not self.running:
-            return
+            return None
         self.closed = True
         if self._request is None:
             # A transaction is being rolled back.
@@ -208,8 +219,7 @@
                 self.state = TxState.IDLE
         if self.state is not TxState.IDLE:
             self.state = TxState.FAILED
-        with contextlib.suppress(OSError), eventlet.Timeout(FINAL_ANSWER_TIMEOUT_MS / 1000, False):
-            self._port.answer(result)
+        return result
 
     def close(self) -> None:
         """End the session; an open transaction is rolled back."""
@@ -331,8 +341,9 @@
             result, owner = self._sessions.run(req, self._owner)
         except Exception:
             logger.exception('statement %s failed', statement.id)
-            result = unknown_outcome(req, 'internal error')._replace(ended=False)
-            owner = self._owner
+            result, owner = unknown_outcome(req, 'internal error'), self._owner
+            if self.state is TxState.OPEN:
+                self._roll_back()
         finally:
             self._request = None
         return self._finish(statement, result, owner, writes)
--- a/godwitthread/gateway/shutdown.py
+++ b/godwitthread/gateway/shutdown.py
@@ -24,18 +24,22 @@
     `out_of_rotation` returns whether the load balancer sends no more callers.
     """
     started_ms = clock.now_ms()
+    phase = Phase.SERVING
     node.leave()
     while True:
-        busy = bool(node.sessions.busy() or open_calls(node)) or _has_open_work(node)
         elapsed_ms = clock.now_ms() - started_ms
-        phase = shutdown.phase(elapsed_ms, grace_ms, out_of_rotation(), busy)
+        serving = not out_of_rotation() and node.ownership_manager.has_majority()
+        phase = max(phase, shutdown.phase(elapsed_ms, grace_ms, serving, _is_busy(node)))
         node.sessions.enter(phase)
-        if phase is Phase.STOPPING:
-            break
-        if phase is Phase.ABORTING:
+        if phase >= Phase.ABORTING:
             for runner in node.runners.values():
                 runner.end_idle_transactions()
         eventlet.sleep(POLL_INTERVAL_MS / 1000)
+        # Work that had arrived before the last phase shows only after other threads have run.
+        if phase is Phase.STOPPING and (
+            shutdown.is_over(elapsed_ms, grace_ms) or not _is_busy(node)
+        ):
+            break
     node.sessions.answer_running()
 
 
@@ -44,6 +48,8 @@
     return node.peer_statements + sum(stream.unsent for stream in node.inbound)
 
 
-def _has_open_work(node: Node) -> bool:
-    """Return whether any group has open statements or transactions at this instance."""
+def _is_busy(node: Node) -> bool:
+    """Return whether a caller or a peer awaits an answer, or a transaction is open."""
+    if node.sessions.busy() or open_calls(node):
+        return True
     return any(runner.has_open_work() for runner in node.runners.values())
--- a/godwitthread/platform/__main__.py
+++ b/godwitthread/platform/__main__.py
@@ -6,7 +6,7 @@
 import sys
 
 if __name__ == '__main__':
-    # Until its handler is installed, SIGHUP would end the process. The settings are read later.
+    # Until its handler is installed, SIGHUP would end the process.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     from godwitthread.platform.gateway_process import main
 
--- a/godwitthread/platform/caller_connection.py
+++ b/godwitthread/platform/caller_connection.py
@@ -99,6 +99,8 @@
         session.running = True
         statement = parse_query(rest) if command == 'QUERY' else None
         result = session.malformed() if statement is None else session.run(statement)
+        if session.closed:
+            return
         session.answering = True
         try:
             _answer(sock, session, result)
--- a/godwitthread/platform/gateway_process.py
+++ b/godwitthread/platform/gateway_process.py
@@ -161,8 +161,12 @@
         return self._failed_probes >= PROBES_UNTIL_OUT_OF_ROTATION
 
     def _on_sigterm(self, *_: Any) -> None:
+        eventlet.spawn_after(0, self._request_stop)
+
+    def _request_stop(self) -> None:
+        # Several signals may arrive in one iteration of the event loop.
         if not self._stop_requested.ready():
-            eventlet.spawn_after(0, self._stop_requested.send)
+            self._stop_requested.send()
 
     def _on_sighup(self, *_: Any) -> None:
         eventlet.spawn_after(0, self._reload)
--- a/tests/test_gateway/test_sessions.py
+++ b/tests/test_gateway/test_sessions.py
@@ -188,10 +188,15 @@
     """Guard against a connection that ends without an answer after an internal error."""
     session, _, owner, _ = open_session()
 
+    actions = []
+
     def fail(req, holder):
+        actions.append(req.action)
         raise KeyError('unexpected')
 
     session._sessions.run = fail
     results = [session.run(statement(verb, f'{verb.name} i x', name='i')) for verb in verbs]
     assert results[-1].error == error
     assert session.state is state
+    # The owner may hold the transaction open.
+    assert (Action.ROLLBACK in actions) == (Verb.BEGIN in verbs)
--- a/tests/test_platform/test_shutdown.py
+++ b/tests/test_platform/test_shutdown.py
@@ -7,8 +7,10 @@
 
 import eventlet
 import pytest
+from eventlet import patcher
 
 from godwitthread.clock import Clock
+from godwitthread.core.shutdown import Phase
 from godwitthread.core.statements import Action, Result, RunRequest
 from godwitthread.gateway import links
 from godwitthread.gateway.links import FrameStream
@@ -23,6 +25,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from godwitthread.gateway.sessions import Session
+
 START = b'START orders-db k1\r\n'
 GRACE_MS = 6_000
 #: Limit for conditions that tests wait for, in s.
@@ -160,15 +164,19 @@
 
 
 @pytest.mark.parametrize(
-    ('lines', 'answer'),
+    ('lines', 'answer', 'state'),
     [
-        (b'QUERY 1 WRITE a slow\r\n', b'ERR INDOUBT'),
-        (b'QUERY 1 BEGIN\r\nQUERY 2 READ slow\r\n', b'ERR ABORTED'),
-        (b'QUERY 1 BEGIN\r\nQUERY 2 READ a\r\nQUERY 3 ROLLBACK\r\n', b'ERR ABORTED'),
+        (b'QUERY 1 WRITE a slow\r\n', b'ERR INDOUBT', b'I -\r\n'),
+        (b'QUERY 1 BEGIN\r\nQUERY 2 READ slow\r\n', b'ERR ABORTED', b'E -\r\n'),
+        (
+            b'QUERY 1 BEGIN\r\nQUERY 2 READ a\r\nQUERY 3 ROLLBACK\r\n',
+            b'ERR ABORTED',
+            b'E -\r\n',
+        ),
     ],
     ids=['write', 'transaction', 'rollback'],
 )
-def test_a_statement_that_outlasts_the_grace_period_is_answered(instance, lines, answer):
+def test_a_statement_that_outlasts_the_grace_period_is_answered(instance, lines, answer, state):
     """Guard against a connection that ends without an answer, so that its caller can't tell."""
     sock = instance.open_session()
     sock.sendall(lines)
@@ -179,7 +187,60 @@
     sock.settimeout(0.5)
     received = sock.recv(4_096)
     assert answer in received
-    assert received.rpartition(b'READY ')[2] in (b'I -\r\n', b'E -\r\n')
+    assert received.rpartition(b'READY ')[2] == state
+
+
+def test_a_result_that_has_arrived_is_delivered_at_the_end_of_the_grace_period(instance):
+    """Guard against an unknown outcome although the answer waits for its green thread."""
+    sock = instance.open_session()
+    sock.sendall(b'QUERY 1 WRITE a slow\r\n')
+    eventlet.sleep(0.05)
+    instance.shut_down()
+    instance.time_ms = GRACE_MS
+    # The event loop is held up, so that the shutdown and the result are due at the same time.
+    patcher.original('time').sleep(2 * POLL_INTERVAL_MS / 1000)
+    instance.released.send()
+    instance.wait_until_stopped()
+    assert receive_all(sock) == b'ROW x\r\nDONE receipt\r\nREADY I -\r\n'
+
+
+def test_callers_that_do_not_read_delay_no_final_answer(instance):
+    """Guard against two answers to one statement, and against an exit only by SIGKILL."""
+    stuck = [instance.open_session() for _ in range(8)]
+    sock = instance.open_session()
+    for each in [*stuck, sock]:
+        each.sendall(b'QUERY 1 WRITE a slow\r\n')
+    eventlet.sleep(0.05)
+    blocked: list[Session] = []
+
+    def block(session: Session) -> None:
+        blocked.append(session)
+        if len(blocked) == len(stuck):
+            instance.released.send()
+        eventlet.sleep(WAIT_S)
+
+    for session in list(instance.sessions._open.values())[: len(stuck)]:
+        session._port = session._port._replace(answer=lambda _, session=session: block(session))
+    instance.shut_down()
+    instance.wait_until_stopped()
+    assert receive_all(sock) == b'ERR INDOUBT the instance stopped\r\nREADY I -\r\n'
+    assert len(blocked) == len(stuck)
+
+
+def test_a_request_that_crosses_the_close_is_not_executed(instance):
+    """Guard against a request that is executed although its connection was just shut down."""
+    sock = instance.open_session()
+    session = next(iter(instance.sessions._open.values()))
+    port = session._port
+
+    def close() -> None:
+        sock.sendall(b'QUERY 1 WRITE a x\r\n')
+        port.close()
+
+    session._port = port._replace(close=close)
+    instance.sessions.enter(Phase.DRAINING)
+    eventlet.sleep(0.05)
+    assert instance.executed == []
 
 
 def test_a_transaction_gets_no_further_statement_after_half_of_the_grace_period(instance):
@@ -229,10 +290,22 @@
     """Guard against requests that cross the close of their idle connection."""
     sock = instance.open_session()
     instance.shut_down()
-    sock.sendall(b'QUERY 1 READ a\r\n')
+    sock.sendall(b'QUERY 1 SET a b\r\n')
+    assert sock.recv(100) == b'DONE -\r\nREADY I -\r\n'
+    sock.sendall(b'QUERY 2 READ a\r\n')
     assert receive_all(sock) == b'ROW x\r\nDONE receipt\r\nREADY I -\r\n'
 
 
+def test_an_instance_without_a_majority_does_not_accept_sessions_when_it_stops(
+    instance, monkeypatch
+):
+    """Guard against callers that are accepted by an instance that can serve nobody."""
+    monkeypatch.setattr(instance.process.node.ownership_manager, 'has_majority', lambda: False)
+    instance.sessions.enter(Phase.DRAINING)
+    instance.shut_down()
+    assert instance.sessions.phase >= Phase.DRAINING
+
+
 def test_a_session_is_refused_after_the_balancer_has_noticed_the_shutdown(instance):
     """Guard against callers that are accepted although the process ends soon."""
     busy = instance.open_session()
@@ -275,6 +348,9 @@
         def end_sender(self, sender):
             pass
 
+        def end_idle_transactions(self):
+            pass
+
     node.runners['orders'] = Runner()
     eventlet.spawn(
         links.serve, far, node.inbound, node.heartbeat_status, node.handle, node.peer_ended
