Add splits to the soak of gateway processes

Cause: the stand-in for a backend server stopped being the primary at the moment of the promotion, so the soak had no former primary that goes on accepting work. Change: a group has a partitioned member, which goes on as primary with its old term when another one is promoted, and loses its commits at the end of the split. `--splits` splits primaries again and again and plays no other fault than pauses and kills of instances. The proxy moves to a module of its own. Every run reserves its address prefix: two runs, or two seeds of one run, could draw the same one.

--- a/godwitthread/standin/line_member.py
+++ b/godwitthread/standin/line_member.py
@@ -61,14 +61,18 @@
         #: Term for which replication is paused; commits are received only while it does not
         #: exceed the term of the group.
         self.paused_term = 0
+        #: Term in which the member last became the primary.
+        self.term = 1
+        #: Whether the member was replaced as primary during a split and does not know it.
+        self.unaware = False
         self._sockets: set[socket.socket] = set()
         self._slots = eventlet.semaphore.Semaphore(group.slots)
         self._listener: socket.socket | None = None
 
     @property
     def primary(self) -> bool:
-        """Whether the member is the primary of its group."""
-        return self.group.primary is self
+        """Whether the member acts as the primary of its group."""
+        return self.group.primary is self or self.unaware
 
     @property
     def receiving(self) -> bool:
@@ -150,6 +154,9 @@
         self.term = 1
         #: Whether a commit is acknowledged only after a replica has received it.
         self.synchronous = False
+        #: Member that is partitioned from the other members, if any. If it is the primary, it goes
+        #: on when another member is promoted, until the end of the split.
+        self.partitioned: LineMember | None = None
         #: Commits of former primaries that a promotion discarded.
         self.rolled_back: list[Commit] = []
         #: Executed statements: member, organisation, statement id, text.
@@ -166,15 +173,13 @@
         self.primary = self.primary or member
         return member
 
-    def commit(self, writes: tuple[tuple[str, str, str], ...]) -> Position:
-        """Append a commit at the primary and send it to the replicas.
+    def commit(self, primary: LineMember, writes: tuple[tuple[str, str, str], ...]) -> Position:
+        """Append a commit at a member that acts as the primary, and send it to the replicas.
 
         Raise ConnectionResetError if a synchronous commit reached no replica before the
         member was replaced as primary.
         """
-        primary = self.primary
-        assert primary is not None
-        position = Position(self.term, primary.received().offset + 1)
+        position = Position(primary.term, primary.received().offset + 1)
         entry = Commit(position, writes, self.now_ms())
         primary.log.append(entry)
         primary.applied = len(primary.log)
@@ -185,7 +190,13 @@
         return position
 
     def _send(self, primary: LineMember, position: Position) -> bool:
-        receivers = [each for each in self.members.values() if each.receiving]
+        if primary is self.partitioned:
+            return False
+        receivers = [
+            each
+            for each in self.members.values()
+            if each.receiving and each is not self.partitioned
+        ]
         for member in receivers:
             if member is not primary:
                 member.log = [*primary.log]
@@ -206,7 +217,9 @@
             return
         former, self.primary = self.primary, member
         self.term += 1
-        member.paused_term = 0
+        member.term, member.unaware, member.paused_term = self.term, False, 0
+        if former is not None:
+            former.unaware = former is self.partitioned and former.condition != 'down'
         received_count = len(member.log)
         if former is not None:
             self.rolled_back += [entry for entry in former.log if entry not in member.log]
@@ -214,10 +227,19 @@
         member.log.append(Commit(Position(self.term, member.received().offset + 1), (), 0))
         member.applied = len(member.log)
         for other in self.members.values():
-            if other is not member:
+            if other is not member and not other.unaware:
                 self.follow(other)
             self.on_change(other)
 
+    def end_split(self) -> None:
+        """End the split, so that a replaced primary becomes a replica and loses its commits."""
+        self.partitioned = None
+        for member in self.members.values():
+            if member.unaware:
+                member.unaware = False
+                self.follow(member)
+                self.on_change(member)
+
     def follow(self, member: LineMember) -> None:
         """Replace the log of a replica with that of the primary."""
         primary = self.primary
@@ -308,7 +330,8 @@
         member = self._member
         role = 'primary' if member.primary else 'replica'
         received = format_position(member.received())
-        return f'ROW {role} {self._group.term} {received} {member.paused_term} 0 0 1'
+        term = member.term if member.unaware else self._group.term
+        return f'ROW {role} {term} {received} {member.paused_term} 0 0 1'
 
     def _run(self, statement: Statement) -> list[str]:
         member = self._member
@@ -358,11 +381,11 @@
         elif verb is Verb.WRITE:
             self._writes.append((statement.name, statement.argument, statement.id))
             if self._state is TxState.IDLE:
-                group.commit(tuple(self._writes))
+                group.commit(member, tuple(self._writes))
                 self._writes.clear()
         elif verb is Verb.COMMIT:
             if self._writes:
-                group.commit(tuple(self._writes))
+                group.commit(member, tuple(self._writes))
             self._end_transaction()
         return [*rows, f'DONE {member.name}.{next(group.receipts)}']
 
--- a/tests/test_platform/faults.py
+++ b/tests/test_platform/faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+import time
 from typing import TYPE_CHECKING
 
 from godwitthread.loop import eventlet
@@ -29,6 +30,27 @@
     return ' '.join(names)
 
 
+def inject_splits(deployment: Deployment, seconds: int) -> None:
+    """Split the primary of a group from its replicas, again and again.
+
+    It is out of reach for long enough to be replaced, and then accepts work again. An instance
+    may be suspended or restarted meanwhile, so that the group changes its owner.
+    """
+    end_s = time.monotonic() + seconds
+    while time.monotonic() < end_s:
+        group = deployment.random.choice(deployment.groups)
+        assert group.primary is not None
+        proxy = deployment.proxies[group.primary.name]
+        group.partitioned, proxy.mode = group.primary, 'stalled'
+        eventlet.sleep(deployment.random.uniform(0.5, 1.5))
+        for _ in range(2):
+            eventlet.spawn_n(deployment.random.choice([pause_instance, kill_instance]), deployment)
+        eventlet.sleep(deployment.random.uniform(0, 1))
+        proxy.mode = 'forward'
+        eventlet.sleep(deployment.random.uniform(0.5, 2))
+        group.end_split()
+
+
 def kill_instance(deployment: Deployment) -> None:
     """Kill a random instance and restart it."""
     deployment.restart(_random_instance(deployment), signal.SIGKILL)
--- a/tests/test_platform/world.py
+++ b/tests/test_platform/world.py
@@ -26,9 +26,10 @@
 from godwitthread.address import Address  # noqa: E402
 from godwitthread.loop import eventlet  # noqa: E402
 from godwitthread.platform.line_protocol import LineReader, encode  # noqa: E402
-from godwitthread.sockets import connect, listen, receive, shutdown_socket  # noqa: E402
+from godwitthread.sockets import connect, listen  # noqa: E402
 from godwitthread.standin.line_member import LineGroup, LineMember  # noqa: E402
 from godwitthread.standin.rows import PromotionEndpoint, RowStore, serve  # noqa: E402
+from tests.test_platform.proxy import Proxy  # noqa: E402
 
 ROOT = Path(__file__).parents[2]
 DOMAINS = ('d1', 'd2', 'd3')
@@ -42,59 +43,6 @@
 ANSWER_TIMEOUT_S = 6
 
 
-class Proxy:
-    """Forward connections of one address, with injected network faults."""
-
-    def __init__(self, address: Address, target: Address) -> None:
-        self.address = address
-        #: 'forward', 'stalled' (data is held back in both directions), 'responses_stalled'
-        #: (only responses are held back) or 'closed'.
-        self.mode = 'forward'
-        self.delay_s = 0.0
-        self._target = target
-        self._pairs: list[tuple[Any, Any]] = []
-        self._listener = listen(address)
-        eventlet.spawn(self._accept)
-
-    def reset(self) -> None:
-        """Close all connections."""
-        for pair in self._pairs:
-            for sock in pair:
-                shutdown_socket(sock)
-        self._pairs.clear()
-
-    def _accept(self) -> None:
-        while True:
-            sock, _ = self._listener.accept()
-            eventlet.spawn_n(self._open, sock)
-
-    def _open(self, sock: Any) -> None:
-        try:
-            if self.mode == 'closed':
-                raise ConnectionRefusedError
-            upstream = connect(self._target, 1_000)
-            upstream.settimeout(None)
-        except OSError:
-            sock.close()
-            return
-        self._pairs.append((sock, upstream))
-        eventlet.spawn_n(self._copy, sock, upstream, ('stalled',))
-        eventlet.spawn_n(self._copy, upstream, sock, ('stalled', 'responses_stalled'))
-
-    def _copy(self, source: Any, target: Any, stalled_modes: tuple[str, ...]) -> None:
-        try:
-            while data := receive(source, 65_536):
-                while self.mode in stalled_modes:
-                    eventlet.sleep(0.02)
-                eventlet.sleep(self.delay_s)
-                target.sendall(data)
-        except OSError:
-            pass
-        finally:
-            shutdown_socket(target)
-            source.close()
-
-
 class AcknowledgedWrite(NamedTuple):
     """Write whose success was reported to the caller."""
 
@@ -108,7 +56,8 @@
     def __init__(self, seed: int, instances: int, groups: int, folder: str) -> None:
         self.random = random.Random(seed)
         self.folder = Path(folder)
-        self.prefix = f'127.{20 + (os.getpid() + seed) % 200}'
+        # Reserved until the end of this process: the stand-ins go on listening after `close`.
+        self.prefix, self._claim = claim_prefix()
         self.store = RowStore(seed)
         self.violations: list[str] = []
         self.served = self.requested = 0
@@ -436,14 +385,27 @@
             self._deployment.violations.append(f'unknown or withdrawn key {self._key} accepted')
 
 
+def claim_prefix() -> tuple[str, Any]:
+    """Return an address prefix that no other run uses, and the socket that reserves it."""
+    for number in range(200):
+        prefix = f'127.{20 + (os.getpid() + number) % 200}'
+        try:
+            return prefix, listen(Address(f'{prefix}.9.1', 8400))
+        except OSError:
+            continue
+    raise OSError('no address prefix is free')
+
+
 def now_ms() -> int:
     """Return the monotonic time in ms."""
     return int(time.monotonic() * 1000)
 
 
-def run(seed: int, seconds: int, instances: int, groups: int, callers: int) -> int:
+def run(
+    seed: int, seconds: int, instances: int, groups: int, callers: int, splits: bool = False
+) -> int:
     """Run one seed and print its result; return 1 after a violation."""
-    from tests.test_platform.faults import inject_faults
+    from tests.test_platform.faults import inject_faults, inject_splits
 
     with tempfile.TemporaryDirectory(prefix='gateway-') as folder:
         deployment = Deployment(seed, instances, groups, folder)
@@ -451,7 +413,11 @@
             eventlet.sleep(2)
             for caller in range(callers):
                 eventlet.spawn(deployment.run_caller, caller)
-            faults = inject_faults(deployment, seconds)
+            faults = 'splits'
+            if splits:
+                inject_splits(deployment, seconds)
+            else:
+                faults = inject_faults(deployment, seconds)
             requested, served = deployment.requested, deployment.served
             eventlet.sleep(4)
             if deployment.served - served < (deployment.requested - requested) * 0.25:
@@ -488,11 +454,13 @@
     parser.add_argument('--instances', type=int, default=5)
     parser.add_argument('--groups', type=int, default=2)
     parser.add_argument('--callers', type=int, default=16)
+    parser.add_argument('--splits', action='store_true', help='split primaries, no other faults')
     args = parser.parse_args()
     # Exit through `finally`, so that the started processes are killed as well.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     seeds = range(args.seed, args.seed + args.seeds)
-    return max(run(seed, args.seconds, args.instances, args.groups, args.callers) for seed in seeds)
+    sizes = args.seconds, args.instances, args.groups, args.callers
+    return max(run(seed, *sizes, args.splits) for seed in seeds)
 
 
 if __name__ == '__main__':
