--- a/tests/test_platform/world.py
+++ b/tests/test_platform/world.py
@@ -108,7 +108,8 @@
             eventlet.sleep(0.05)
         if process.poll() is None:
             process.kill()
-        if not self.stopping:
+        # Another fault may have restarted the same instance meanwhile.
+        if not self.stopping and self.processes[number] is process:
             self.start(number)
 
     def close(self) -> None:
