Add planned work to the soak of gateway processes

Change: `--planned` plays only planned work, drawn from the seed, in series and overlapping: SIGTERM of one and of several instances, a second SIGTERM, SIGHUP with changed and with invalid settings, also during a shutdown, and new configurations one by one and in storms (routes, limits, keys, a group). Callers keep their connections until they end: idle ones that send when their instance is told to stop, transactions with pauses, slow statements, two requests back to back, and new sessions at instances that shut down. A ledger holds each request. A statement that a backend server executed and a request that waited for more than 200 ms must have a complete answer. Requests that nothing read, requests that only a log names, and writes with an unknown outcome are counted and printed. The runs move to a module of their own, and the checks count statement ids in one pass. The first three kinds seen: executed on a session that is closed as idle, cut at half of the grace period, and the second request of a pair that is dropped when its session ends between them.

--- a/Makefile
+++ b/Makefile
@@ -44,8 +44,9 @@
 soak: setup
 	$(BIN)/python -m tests.soak --seconds $(SECONDS) --seed $(SEED)
 
+# MODE=--planned or MODE=--splits plays only planned work or only splits.
 soak-processes: setup
-	$(BIN)/python -m tests.test_platform.world --seconds $(SECONDS) --seed $(SEED) --seeds $(SEEDS)
+	$(BIN)/python -m tests.test_platform.world --seconds $(SECONDS) --seed $(SEED) --seeds $(SEEDS) $(MODE)
 
 wheel: setup
 	$(BIN)/python -m build --wheel --no-isolation
--- a/godwitthread/standin/line_member.py
+++ b/godwitthread/standin/line_member.py
@@ -147,6 +147,8 @@
         self.slots = 2
         self.connection_limit = 16
         self.statement_s = 0.004
+        #: Execution time of statements on some items, in s, in place of `statement_s`.
+        self.execution_s: dict[str, float] = {}
         self.connect_s = 0.01
         self.promote_s = 0.1
         self.members: dict[str, LineMember] = {}
@@ -365,7 +367,8 @@
             return ['DONE -']
         if verb is Verb.WRITE and not member.primary:
             return [f'ERR READONLY {member.name}']
-        member.hold_slot(self._group.statement_s)
+        group = self._group
+        member.hold_slot(group.execution_s.get(statement.name, group.statement_s))
         return self._execute(statement, verb)
 
     def _execute(self, statement: Statement, verb: Verb) -> list[str]:
--- /dev/null
+++ b/tests/test_platform/runs.py
@@ -0,0 +1,150 @@
+"""Runs of a deployment under faults, splits or planned work, and their results."""
+
+from __future__ import annotations
+
+import argparse
+import signal
+import sys
+import tempfile
+from pathlib import Path
+from typing import TYPE_CHECKING, NamedTuple
+
+from godwitthread.loop import eventlet
+from tests.test_platform.faults import inject_faults, inject_splits
+from tests.test_platform.planned_callers import Caller, Ledger, check_answers
+from tests.test_platform.planned_work import PlannedWork
+from tests.test_platform.world import Deployment
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+#: Number of slots of a backend server during planned work, which must not be overloaded by the
+#: slow statements.
+PLANNED_SLOTS = 8
+#: Time limit for the answers that are missing at the end of a run, in s.
+FINISH_TIMEOUT_S = 20
+#: Maximum number of violations that are printed.
+MAX_PRINTED = 20
+
+
+class Sizes(NamedTuple):
+    """Size and duration of a run."""
+
+    seconds: int
+    instances: int
+    groups: int
+    callers: int
+
+
+def main() -> int:
+    """Run the seeds given on the command line."""
+    parser = argparse.ArgumentParser(prog='python -m tests.test_platform.world')
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--seeds', type=int, default=1, help='number of consecutive seeds')
+    parser.add_argument('--seconds', type=int, default=15)
+    parser.add_argument('--instances', type=int, default=5)
+    parser.add_argument('--groups', type=int, default=2)
+    parser.add_argument('--callers', type=int, help='16 by default, 72 with --planned')
+    modes = parser.add_mutually_exclusive_group()
+    modes.add_argument('--splits', action='store_true', help='split primaries, no other faults')
+    modes.add_argument('--planned', action='store_true', help='planned work only, no faults')
+    args = parser.parse_args()
+    # Exit through `finally`, so that the started processes are killed as well.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    callers = args.callers or (72 if args.planned else 16)
+    sizes = Sizes(args.seconds, args.instances, args.groups, callers)
+    play = play_splits if args.splits else play_planned_work if args.planned else play_faults
+    slots = PLANNED_SLOTS if args.planned else 2
+    seeds = range(args.seed, args.seed + args.seeds)
+    return max(run(seed, sizes, slots, play) for seed in seeds)
+
+
+def run(seed: int, sizes: Sizes, slots: int, play: Callable[[Deployment, int, Sizes], str]) -> int:
+    """Run one seed and print its result; return 1 after a violation."""
+    with tempfile.TemporaryDirectory(prefix='gateway-') as folder:
+        deployment = Deployment(seed, sizes.instances, sizes.groups, folder, slots)
+        try:
+            summary = play(deployment, seed, sizes)
+            deployment.check()
+        finally:
+            deployment.close()
+        if deployment.violations:
+            log_folder = Path(f'soak-{seed}')
+            log_folder.mkdir(exist_ok=True)
+            for log in Path(folder).glob('*.log'):
+                (log_folder / log.name).write_bytes(log.read_bytes())
+    result = 'FAILED' if deployment.violations else 'ok'
+    print(  # noqa: T201
+        f'seed {seed}: {result}, {deployment.served} of {deployment.requested} served; {summary}',
+        flush=True,
+    )
+    for violation in deployment.violations[:MAX_PRINTED]:
+        print(f'  {violation}', flush=True)  # noqa: T201
+    if len(deployment.violations) > MAX_PRINTED:
+        print(f'  and {len(deployment.violations) - MAX_PRINTED} more')  # noqa: T201
+    return 1 if deployment.violations else 0
+
+
+def play_faults(deployment: Deployment, _: int, sizes: Sizes) -> str:
+    """Inject faults while callers check the guarantees."""
+    _start_callers(deployment, sizes)
+    names = inject_faults(deployment, sizes.seconds)
+    _check_recovery(deployment)
+    _stop_callers(deployment)
+    return f'faults: {names}'
+
+
+def play_splits(deployment: Deployment, _: int, sizes: Sizes) -> str:
+    """Split primaries while callers check the guarantees."""
+    _start_callers(deployment, sizes)
+    inject_splits(deployment, sizes.seconds)
+    _check_recovery(deployment)
+    _stop_callers(deployment)
+    return 'faults: splits'
+
+
+def play_planned_work(deployment: Deployment, seed: int, sizes: Sizes) -> str:
+    """Do planned work while callers keep using their connections."""
+    ledger, work = Ledger(), PlannedWork(deployment, seed)
+    work.wait_until_started()
+    eventlet.sleep(2)
+    eventlet.spawn(ledger.watch_loop)
+    callers = [
+        eventlet.spawn(Caller(number, seed, ledger, work).run) for number in range(sizes.callers)
+    ]
+    names = work.run(sizes.seconds)
+    _check_recovery(deployment)
+    ledger.closing = True
+    work.end()
+    with eventlet.Timeout(FINISH_TIMEOUT_S, False):
+        for caller in callers:
+            caller.wait()
+    losses = check_answers(ledger, work)
+    deployment.violations += losses.violations
+    unknown = ledger.unknown_outcomes()
+    return (
+        f'{len(ledger.unanswered())} unanswered: {len(losses.violations)} violations, '
+        f'{losses.read} read but not executed, {losses.unread} unread, of these '
+        f'{losses.unread_in_new_session} in new sessions; '
+        f'writes answered INDOUBT: {unknown["INDOUBT"]}, TIMEOUT: {unknown["TIMEOUT"]}; '
+        f'{work.killed} processes killed, exit statuses {work.bad_exits}; work: {names}'
+    )
+
+
+def _start_callers(deployment: Deployment, sizes: Sizes) -> None:
+    eventlet.sleep(2)
+    for caller in range(sizes.callers):
+        eventlet.spawn(deployment.run_caller, caller)
+
+
+def _check_recovery(deployment: Deployment) -> None:
+    requested, served = deployment.requested, deployment.served
+    eventlet.sleep(4)
+    requested, served = deployment.requested - requested, deployment.served - served
+    if served < requested * 0.25:
+        deployment.violations.append(f'not recovered: {served} of {requested} requests served')
+
+
+def _stop_callers(deployment: Deployment) -> None:
+    deployment.stopping = True
+    eventlet.sleep(1)
--- a/tests/test_platform/world.py
+++ b/tests/test_platform/world.py
@@ -11,17 +11,15 @@
 
 loop.patch()
 
-import argparse  # noqa: E402
 import json  # noqa: E402
 import os  # noqa: E402
 import random  # noqa: E402
-import signal  # noqa: E402
 import subprocess  # noqa: E402
 import sys  # noqa: E402
-import tempfile  # noqa: E402
 import time  # noqa: E402
+from collections import Counter  # noqa: E402
 from pathlib import Path  # noqa: E402
-from typing import Any, NamedTuple  # noqa: E402
+from typing import TYPE_CHECKING, Any, NamedTuple  # noqa: E402
 
 from godwitthread.address import Address  # noqa: E402
 from godwitthread.loop import eventlet  # noqa: E402
@@ -31,6 +29,9 @@
 from godwitthread.standin.rows import PromotionEndpoint, RowStore, serve  # noqa: E402
 from tests.test_platform.proxy import Proxy  # noqa: E402
 
+if TYPE_CHECKING:
+    import signal
+
 ROOT = Path(__file__).parents[2]
 DOMAINS = ('d1', 'd2', 'd3')
 #: Error codes which guarantee that the attempt had no effect.
@@ -53,7 +54,7 @@
 class Deployment:
     """Store, members, gateway processes and callers, with checks of the guarantees."""
 
-    def __init__(self, seed: int, instances: int, groups: int, folder: str) -> None:
+    def __init__(self, seed: int, instances: int, groups: int, folder: str, slots: int = 2) -> None:
         self.random = random.Random(seed)
         self.folder = Path(folder)
         # Reserved until the end of this process: the stand-ins go on listening after `close`.
@@ -69,7 +70,7 @@
         #: Times at which statements of the rate-limited organisation were executed.
         self.small_execution_ms: list[int] = []
         self.processes: dict[int, subprocess.Popen[bytes]] = {}
-        self.groups = [self._group(number, seed) for number in range(groups)]
+        self.groups = [self._group(number, seed, slots) for number in range(groups)]
         self.promotion_service = PromotionEndpoint(self._promote)
         store_address = self._address(0, 1, 8466)
         serve(store_address, self.store.application)
@@ -79,6 +80,12 @@
         serve(self._address(0, 2, 8466), self.promotion_service.application)
         self.version = 0
         self.keys = {'big': ['kb0', 'kb1', 'kb2'], 'small': ['ks0']}
+        self.rates = {'big': 100_000, 'small': SMALL_RATE_PER_S}
+        self.tx_idle_ms, self.connection_limit = 3_000, 16
+        #: Number of routes that no caller uses.
+        self.extra_routes = 0
+        #: Names of the groups that are left out of the configuration.
+        self.removed_groups: set[str] = set()
         self.configure()
         for number in range(instances):
             self.start(number)
@@ -87,8 +94,8 @@
 
     def start(self, number: int) -> None:
         """Start the process of an instance."""
-        path = self.folder / f'node-{number}.json'
-        path.write_text(json.dumps(self._settings(number)))
+        path = self.settings_path(number)
+        path.write_text(json.dumps(self.settings(number)))
         log = (self.folder / f'node-{number}.log').open('ab')
         env = {**os.environ, 'GODWITTHREAD_CONFIG': str(path), 'EVENTLET_NO_GREENDNS': 'yes'}
         self.processes[number] = subprocess.Popen(
@@ -122,20 +129,23 @@
     def configure(self) -> None:
         """Write a new configuration version to the store."""
         self.version += 1
+        groups = {
+            number: each
+            for number, each in enumerate(self.groups)
+            if each.name not in self.removed_groups
+        }
+        kinds = ('primary', 'bounded_staleness', 'read_your_writes')
         routes = [
-            {
-                'Host': f'{kind[0]}{number}',
-                'Kind': kind,
-                'Service': group.name,
-                'MaxStalenessMs': MAX_AGE_MS,
-                'TimeoutMs': 1_500,
-                'LatencyGoalMs': 200,
-                'Priority': 1,
-            }
-            for number, group in enumerate(self.groups)
-            for kind in ('primary', 'bounded_staleness', 'read_your_writes')
+            _route(f'{kind[0]}{number}', kind, group, 1_500)
+            for number, group in groups.items()
+            for kind in kinds
+        ]
+        # Routes for slow statements, and routes that no caller uses.
+        routes += [_route(f'l{number}', 'primary', each, 4_000) for number, each in groups.items()]
+        routes += [
+            _route(f'x{number}', 'primary', self.groups[0], 1_500)
+            for number in range(self.extra_routes)
         ]
-        rates = {'big': 100_000, 'small': SMALL_RATE_PER_S}
         self.store.put(
             'op',
             'config',
@@ -143,12 +153,21 @@
                 'Version': self.version,
                 'Routes': routes,
                 'Services': [
-                    {'Name': each.name, 'MaxConns': 16, 'SyncReplicas': int(each.synchronous)}
-                    for each in self.groups
+                    {
+                        'Name': each.name,
+                        'MaxConns': self.connection_limit,
+                        'SyncReplicas': int(each.synchronous),
+                    }
+                    for each in groups.values()
                 ],
-                'Limits': {'TxIdleMs': 3_000},
+                'Limits': {'TxIdleMs': self.tx_idle_ms},
                 'Tenants': [
-                    {'Name': name, 'ApiKeys': keys, 'RatePerS': rates[name], 'Burst': rates[name]}
+                    {
+                        'Name': name,
+                        'ApiKeys': keys,
+                        'RatePerS': self.rates[name],
+                        'Burst': self.rates[name],
+                    }
                     for name, keys in self.keys.items()
                 ],
             },
@@ -163,7 +182,7 @@
                 'Service': member.group.name,
                 'Addr': str(self.proxies[member.name].address),
                 'Zone': member.failure_domain,
-                'Slots': 2,
+                'Slots': member.group.slots,
                 'State': state,
                 'ColdLeftMs': 0,
                 'DbRole': 'primary' if member.primary else 'replica',
@@ -172,10 +191,10 @@
             },
         )
 
-    def _group(self, number: int, seed: int) -> LineGroup:
+    def _group(self, number: int, seed: int, slots: int) -> LineGroup:
         self.proxies: dict[str, Proxy] = getattr(self, 'proxies', {})
         group = LineGroup(f'g{number}', now_ms, seed + number)
-        group.synchronous = number % 2 == 1
+        group.synchronous, group.slots = number % 2 == 1, slots
         for index, domain in enumerate(DOMAINS):
             address = self._address(1, 10 * number + index + 1, 9000)
             member = group.add(f'i-{number}{index}', address, domain)
@@ -193,7 +212,16 @@
     def _address(self, kind: int, number: int, port: int) -> Address:
         return Address(f'{self.prefix}.{kind}.{number}', port)
 
-    def _settings(self, number: int) -> dict[str, Any]:
+    def caller_address(self, number: int) -> Address:
+        """Return the address at which an instance accepts callers."""
+        return self._address(2, number + 1, 8465)
+
+    def settings_path(self, number: int) -> Path:
+        """Return the path of the settings file of an instance."""
+        return self.folder / f'node-{number}.json'
+
+    def settings(self, number: int) -> dict[str, Any]:
+        """Return the settings of an instance."""
         host = self._address(2, number + 1, 0).host
         return {
             'Node': f'gw-{number}',
@@ -239,9 +267,8 @@
         number = self.random.randrange(len(self.processes))
         group = caller % len(self.groups)
         kind = self.random.choice('pbr')
-        address = self._address(2, number + 1, 8465)
         try:
-            return Session(self, address, f'{kind}{group}', key)
+            return Session(self, self.caller_address(number), f'{kind}{group}', key)
         except (OSError, ValueError):
             return None
 
@@ -300,8 +327,8 @@
         for group in self.groups:
             assert group.primary is not None
             applied = [write for entry in group.primary.log for write in entry.writes]
-            ids = [statement_id for _, _, statement_id in applied]
-            for statement_id in {each for each in ids if ids.count(each) > 1}:
+            ids = Counter(statement_id for _, _, statement_id in applied)
+            for statement_id in (each for each, count in ids.items() if count > 1):
                 self.violations.append(f'applied twice: {statement_id}')
             # A promotion may roll back acknowledged commits only in asynchronous groups.
             lost = {w[2] for entry in group.rolled_back for w in entry.writes}
@@ -386,6 +413,18 @@
             self._deployment.violations.append(f'unknown or withdrawn key {self._key} accepted')
 
 
+def _route(database: str, kind: str, group: LineGroup, timeout_ms: int) -> dict[str, Any]:
+    return {
+        'Host': database,
+        'Kind': kind,
+        'Service': group.name,
+        'MaxStalenessMs': MAX_AGE_MS,
+        'TimeoutMs': timeout_ms,
+        'LatencyGoalMs': 200,
+        'Priority': 1,
+    }
+
+
 def claim_prefix() -> tuple[str, Any]:
     """Return an address prefix that no other run uses, and the socket that reserves it."""
     for number in range(200):
@@ -402,67 +441,7 @@
     return int(time.monotonic() * 1000)
 
 
-def run(
-    seed: int, seconds: int, instances: int, groups: int, callers: int, splits: bool = False
-) -> int:
-    """Run one seed and print its result; return 1 after a violation."""
-    from tests.test_platform.faults import inject_faults, inject_splits
-
-    with tempfile.TemporaryDirectory(prefix='gateway-') as folder:
-        deployment = Deployment(seed, instances, groups, folder)
-        try:
-            eventlet.sleep(2)
-            for caller in range(callers):
-                eventlet.spawn(deployment.run_caller, caller)
-            faults = 'splits'
-            if splits:
-                inject_splits(deployment, seconds)
-            else:
-                faults = inject_faults(deployment, seconds)
-            requested, served = deployment.requested, deployment.served
-            eventlet.sleep(4)
-            if deployment.served - served < (deployment.requested - requested) * 0.25:
-                deployment.violations.append(
-                    f'not recovered: {deployment.served - served} of '
-                    f'{deployment.requested - requested} requests served'
-                )
-            deployment.stopping = True
-            eventlet.sleep(1)
-            deployment.check()
-        finally:
-            deployment.close()
-        if deployment.violations:
-            log_folder = Path(f'soak-{seed}')
-            log_folder.mkdir(exist_ok=True)
-            for log in Path(folder).glob('*.log'):
-                (log_folder / log.name).write_bytes(log.read_bytes())
-    result = 'FAILED' if deployment.violations else 'ok'
-    print(  # noqa: T201
-        f'seed {seed}: {result}, {deployment.served} of {deployment.requested} served; '
-        f'faults: {faults}'
-    )
-    for violation in deployment.violations[:20]:
-        print(f'  {violation}')  # noqa: T201
-    return 1 if deployment.violations else 0
-
-
-def main() -> int:
-    """Run the seeds given on the command line."""
-    parser = argparse.ArgumentParser(prog='python -m tests.test_platform.world')
-    parser.add_argument('--seed', type=int, default=1)
-    parser.add_argument('--seeds', type=int, default=1, help='number of consecutive seeds')
-    parser.add_argument('--seconds', type=int, default=15)
-    parser.add_argument('--instances', type=int, default=5)
-    parser.add_argument('--groups', type=int, default=2)
-    parser.add_argument('--callers', type=int, default=16)
-    parser.add_argument('--splits', action='store_true', help='split primaries, no other faults')
-    args = parser.parse_args()
-    # Exit through `finally`, so that the started processes are killed as well.
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
-    seeds = range(args.seed, args.seed + args.seeds)
-    sizes = args.seconds, args.instances, args.groups, args.callers
-    return max(run(seed, *sizes, args.splits) for seed in seeds)
-
-
 if __name__ == '__main__':
+    from tests.test_platform.runs import main
+
     sys.exit(main())
