Scale planned work with the number of instances

Cause: in a run with 40 instances only 7 pieces of work took place in 20 s. Slow statements of two owners of a group, the former and the new one, waited for the 8 slots of a backend server, and some exceeded their time limit there. Change: large deployments get one more piece of work at a time for each 10 instances, and a backend server has more slots than connections.

--- a/tests/test_platform/planned_work.py
+++ b/tests/test_platform/planned_work.py
@@ -25,6 +25,8 @@
 KILL_AFTER_S = 10
 #: Time limit for the start of a process, in s.
 START_TIMEOUT_S = 30
+#: Number of instances of a large deployment for which one more piece of work starts at a time.
+INSTANCES_PER_WORK = 10
 #: Groups are removed and added again from this number on; callers use the others all the time.
 FIRST_REMOVABLE_GROUP = 1
 
@@ -56,10 +58,11 @@
         pool = eventlet.GreenPool()
         end_s = time.monotonic() + seconds
         while time.monotonic() < end_s:
-            name = self._random.choice(sorted(WORK))
-            names.append(name)
-            # Each piece of work has draws of its own, which do not depend on the order of events.
-            pool.spawn_n(WORK[name], self, Random(self._random.random()))
+            for _ in range(max(1, len(self.deployment.processes) // INSTANCES_PER_WORK)):
+                name = self._random.choice(sorted(WORK))
+                names.append(name)
+                # Each piece of work has draws of its own, whatever the order of events is.
+                pool.spawn_n(WORK[name], self, Random(self._random.random()))
             if self._random.random() < 0.2:
                 pool.waitall()
             eventlet.sleep(self._random.uniform(0.1, 1.2))
--- a/tests/test_platform/runs.py
+++ b/tests/test_platform/runs.py
@@ -18,9 +18,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-#: Number of slots of a backend server during planned work, which must not be overloaded by the
-#: slow statements.
-PLANNED_SLOTS = 8
+#: Number of slots of a backend server during planned work. It exceeds the connection limit, so that
+#: no statement waits at the backend server, even while a group changes its owner.
+PLANNED_SLOTS = 20
 #: Time limit for the answers that are missing at the end of a run, in s.
 FINISH_TIMEOUT_S = 20
 #: Maximum number of violations that are printed.
