Refuse requests behind a statement that gets a final answer

A second request that a caller had sent back to back was dropped when the first one got its final answer at the end of the grace period. It is answered as not run now.

--- a/godwitthread/gateway/sessions.py
+++ b/godwitthread/gateway/sessions.py
@@ -56,8 +56,8 @@
     close: Callable[[], None]
     #: Returns whether a request, or a part of one, was received and not read yet.
     has_input: Callable[[], bool]
-    #: Sends the answer to a statement; raises OSError.
-    answer: Callable[[Result], None]
+    #: Sends the final answer to the running statement; raises OSError.
+    answer_last: Callable[[Result], None]
 
 
 class Sessions:
@@ -129,7 +129,7 @@
         for session in list(self._open.values()):
             result = session.abandon()
             if result is not None:
-                pool.spawn_n(session.send, result)
+                pool.spawn_n(session.send_last, result)
         with eventlet.Timeout(FINAL_ANSWER_TIMEOUT_MS / 1000, False):
             pool.waitall()
 
@@ -199,11 +199,11 @@
             self.closed = True
             self._port.close()
 
-    def send(self, result: Result) -> None:
-        """Send an answer to the caller unless the connection has ended."""
+    def send_last(self, result: Result) -> None:
+        """Send the final answer to the caller unless the connection has ended."""
         with contextlib.suppress(OSError):
             if self._port is not None:
-                self._port.answer(result)
+                self._port.answer_last(result)
 
     def abandon(self) -> Result | None:
         """Return the final answer to a running statement; its own result is not sent any more."""
@@ -260,7 +260,7 @@
         if self.state is TxState.FAILED:
             return failure(ErrorKind.MALFORMED_REQUEST, 'the transaction has failed; end it first')
         if self._sessions.phase >= Phase.ABORTING and verb is not Verb.COMMIT:
-            return self._refuse()
+            return self.refuse()
         local = _LOCAL_HANDLERS.get(verb)
         if local is not None:
             return local(self, statement)
@@ -270,7 +270,7 @@
         self._report(statement, result, took_ms)
         return result
 
-    def _refuse(self) -> Result:
+    def refuse(self) -> Result:
         """Return the answer to a statement that is not started, since the process ends soon."""
         if self.state is TxState.IDLE:
             return failure(ErrorKind.SHUTTING_DOWN, CLOSING, RECONNECT_DELAY_MS)
--- a/godwitthread/platform/caller_connection.py
+++ b/godwitthread/platform/caller_connection.py
@@ -75,8 +75,8 @@
         reader.limit = MAX_LINE_BYTES
         sock.sendall(encode(ready(TxState.IDLE)))
         sock.settimeout(None)
-        answer = partial(_answer, sock, session)
-        session.attach(CallerPort(partial(shutdown_socket, sock), reader.has_input, answer))
+        answer_last = partial(_answer_last, sock, reader, session)
+        session.attach(CallerPort(partial(shutdown_socket, sock), reader.has_input, answer_last))
         _serve_queries(sock, reader, session)
     except LineTooLongError:
         logger.debug('caller connection closed: line exceeds the maximum length')
@@ -117,6 +117,16 @@
     sock.sendall(encode(*lines))
 
 
+def _answer_last(sock: socket.socket, reader: LineReader, session: Session, result: Result) -> None:
+    """Send a final answer, and refuse the requests that were received behind it."""
+    _answer(sock, session, result)
+    while reader.has_input():
+        line = reader.read()
+        if line is None or not line.startswith('QUERY '):
+            return
+        _answer(sock, session, session.refuse())
+
+
 def _format_error(result: Result) -> str:
     code = ERROR_CODES.get(ErrorKind(result.error), 'INDOUBT')
     retry_hint = f'; retry after {result.retry_after_ms} ms' if result.retry_after_ms else ''
--- a/tests/test_platform/test_shutdown.py
+++ b/tests/test_platform/test_shutdown.py
@@ -167,6 +167,7 @@
     ('lines', 'answer', 'state'),
     [
         (b'QUERY 1 WRITE a slow\r\n', b'ERR INDOUBT', b'I -\r\n'),
+        (b'QUERY 1 READ slow\r\nQUERY 2 WRITE b x\r\n', b'ERR BUSY', b'I -\r\n'),
         (b'QUERY 1 BEGIN\r\nQUERY 2 READ slow\r\n', b'ERR ABORTED', b'E -\r\n'),
         (
             b'QUERY 1 BEGIN\r\nQUERY 2 READ a\r\nQUERY 3 ROLLBACK\r\n',
@@ -174,7 +175,7 @@
             b'E -\r\n',
         ),
     ],
-    ids=['write', 'transaction', 'rollback'],
+    ids=['write', 'pipelined', 'transaction', 'rollback'],
 )
 def test_a_statement_that_outlasts_the_grace_period_is_answered(instance, lines, answer, state):
     """Guard against a connection that ends without an answer, so that its caller can't tell."""
@@ -220,7 +221,9 @@
         eventlet.sleep(WAIT_S)
 
     for session in list(instance.sessions._open.values())[: len(stuck)]:
-        session._port = session._port._replace(answer=lambda _, session=session: block(session))
+        session._port = session._port._replace(
+            answer_last=lambda _, session=session: block(session)
+        )
     instance.shut_down()
     instance.wait_until_stopped()
     assert receive_all(sock) == b'ERR INDOUBT the instance stopped\r\nREADY I -\r\n'
