--- a/godwitthread/gateway/sessions.py
+++ b/godwitthread/gateway/sessions.py
@@ -43,8 +43,9 @@
 RECONNECT_DELAY_MS = 30
 #: Time limit for sending the final answers, in ms; a caller that does not read delays the exit.
 FINAL_ANSWER_TIMEOUT_MS = 100
-CLOSING = 'the instance closes its sessions'
-STOPPED = 'the instance stopped'
+#: Messages of refusals and final answers.
+CLOSING_MESSAGE = 'the instance closes its sessions'
+STOPPED_MESSAGE = 'the instance stopped'
 
 _NO_RESULT = Result()
 
@@ -89,7 +90,7 @@
         """Return a new session, or the reason for its refusal."""
         _, _, refusal = self.resolve(database, key)
         if refusal is None and self.phase >= Phase.DRAINING:
-            refusal = failure(ErrorKind.SHUTTING_DOWN, CLOSING, RECONNECT_DELAY_MS)
+            refusal = failure(ErrorKind.SHUTTING_DOWN, CLOSING_MESSAGE, RECONNECT_DELAY_MS)
         if refusal is not None:
             self.log.failure('session_refused', database=database, reason=refusal.error)
             return None, refusal
@@ -212,9 +213,9 @@
         self.closed = True
         if self._request is None:
             # A transaction is being rolled back.
-            result = failure(ErrorKind.TRANSACTION_LOST, STOPPED)
+            result = failure(ErrorKind.TRANSACTION_LOST, STOPPED_MESSAGE)
         else:
-            result = unknown_outcome(self._request, STOPPED)
+            result = unknown_outcome(self._request, STOPPED_MESSAGE)
             if self._request.action is Action.COMMIT:
                 self.state = TxState.IDLE
         if self.state is not TxState.IDLE:
@@ -243,9 +244,6 @@
             closed_by='instance' if self.closed else 'caller',
         )
 
-    def _has_input(self) -> bool:
-        return self._port is not None and not self.closed and self._port.has_input()
-
     def malformed(self) -> Result:
         """Return the answer to a malformed message, or to a statement that is invalid here."""
         return self._fail_in_transaction(failure(ErrorKind.MALFORMED_REQUEST, 'invalid request'))
@@ -273,8 +271,8 @@
     def refuse(self) -> Result:
         """Return the answer to a statement that is not started, since the process ends soon."""
         if self.state is TxState.IDLE:
-            return failure(ErrorKind.SHUTTING_DOWN, CLOSING, RECONNECT_DELAY_MS)
-        return self._fail_in_transaction(failure(ErrorKind.TRANSACTION_LOST, CLOSING))
+            return failure(ErrorKind.SHUTTING_DOWN, CLOSING_MESSAGE, RECONNECT_DELAY_MS)
+        return self._fail_in_transaction(failure(ErrorKind.TRANSACTION_LOST, CLOSING_MESSAGE))
 
     # Statements that the session answers itself
 
@@ -432,6 +430,9 @@
         self._begun_at_owner = self._wrote = self._read_only = False
         self._owner = None
 
+    def _has_input(self) -> bool:
+        return self._port is not None and not self.closed and self._port.has_input()
+
     def _report(self, statement: Statement, result: Result, took_ms: int) -> None:
         fields = {
             'request': statement.id,
--- a/godwitthread/gateway/shutdown.py
+++ b/godwitthread/gateway/shutdown.py
@@ -19,7 +19,7 @@
 
 
 def shut_down(node: Node, clock: Clock, grace_ms: int, out_of_rotation: Callable[[], bool]) -> None:
-    """Return when all work is answered, or at the end of the grace period.
+    """Finish or refuse the work of an instance, until the end of its grace period at the latest.
 
     `out_of_rotation` returns whether the load balancer sends no more callers.
     """
