--- a/godwitthread/platform/caller_connection.py
+++ b/godwitthread/platform/caller_connection.py
@@ -92,6 +92,7 @@
     while not session.ending:
         line = reader.read()
         if line is None or session.closed:
+            # A request that arrived after the connection was shut down is not executed.
             return
         command, _, rest = line.partition(' ')
         if command == 'BYE':
@@ -100,6 +101,7 @@
         statement = parse_query(rest) if command == 'QUERY' else None
         result = session.malformed() if statement is None else session.run(statement)
         if session.closed:
+            # The caller has received the final answer meanwhile.
             return
         session.answering = True
         try:
