--- /dev/null
+++ b/review/__init__.py
@@ -0,0 +1,1 @@
+"""Review of the project: cases and their stand-ins."""
