--- a/review/2/case.py
+++ b/review/2/case.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from pathlib import Path
 
 from godwitthread.loop import eventlet
@@ -18,11 +19,13 @@
     b'{"Service": "reports", "Addr": "127.0.0.1:9", "Zone": "colonia", "Slots": 2, '
     b'"State": "ready", "ColdLeftMs": Infinity, "DbRole": "replica", "Seq": 1}'
 )
+#: Whether the disruption takes place.
+TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 
 
-def broken(deployment: Deployment, record: Record, trouble: bool) -> bool:
+def broken(deployment: Deployment, record: Record) -> bool:
     """Return whether the draining member ran requests that were sent after DrainMs."""
-    if trouble:
+    if TROUBLE:
         deployment.store.put('servers', 'i-x', BAD_ENTRY)
         record(f'another writer: servers/i-x {BAD_ENTRY.decode()}')
     eventlet.sleep(2)
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -263,9 +263,7 @@
         self._sock.close()
 
 
-def run_case(
-    folder: Path, is_broken: Callable[[Deployment, Record, bool], bool], **sizes: Any
-) -> None:
+def run_case(folder: Path, is_broken: Callable[[Deployment, Record], bool], **sizes: Any) -> None:
     """Run a case and exit: with 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
     record = Record(folder)
     deployment = Deployment(record, **sizes)
@@ -273,7 +271,7 @@
         with eventlet.Timeout(LIMIT_S, TimeoutError(f'not over after {LIMIT_S} s')):
             deployment.wait_until_ready()
             eventlet.sleep(SETTLE_S)
-            status = int(is_broken(deployment, record, os.environ.get('TROUBLE', '1') != '0'))
+            status = int(is_broken(deployment, record))
         for group in deployment.groups:
             for each in group.executed:
                 record(f'run by a member: {" ".join(each)}')
