Adopt the rows of a table although one of them is malformed

An instance that started meanwhile did not become ready.

Cause: the store had an entry of another writer with ColdLeftMs Infinity, which the json module accepts. int() of it raised OverflowError, which the decoder did not expect. The error ended the adoption of the whole table, and the table was read again from version 0, with the same result, by every instance.

Change: each row is decoded on its own, and an error of any type makes that row undecodable. The decoders read strict JSON and check numbers and names against bounds. core/row_faults decides when a malformed row is reported; row_recovered and two metrics are new.

--- a/godwitthread/gateway/store_view.py
+++ b/godwitthread/gateway/store_view.py
@@ -8,11 +8,13 @@
 import xxhash
 
 from godwitthread.core.catalog import Peer
+from godwitthread.core.row_faults import RowFault, RowFaults
 from godwitthread.core.table_freshness import TableContent
 from godwitthread.gateway.ports import StoredRow, StoredRows, Undecodable
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from typing import Any
 
     from godwitthread.clock import Clock
     from godwitthread.core.catalog import Configuration, Member
@@ -26,6 +28,8 @@
 #: Time after which a member whose entry disappeared from the store is dropped, in ms. Entries
 #: that expired during a store outage reappear within 2 s of its end.
 MISSING_MEMBER_MS = 2_500
+#: Maximum length of the reason in an event; a decoder may quote the content, up to 1 MB.
+MAX_REASON_LENGTH = 200
 
 _peers = msgspec.json.Decoder(Peer)
 
@@ -59,6 +63,7 @@
         #: Store version by which the content of a table had last changed.
         self._changed: dict[str, int] = {}
         self._missing: dict[str, int] = {}
+        self._faults = {table: RowFaults() for table in self.tables()}
 
     def tables(self) -> tuple[str, str, str]:
         """Return the names of the copied tables."""
@@ -98,6 +103,14 @@
         if content.rows:
             self._decode(table, STORE)
 
+    def malformed_rows(self, table: str) -> int:
+        """Return the number of rows of a table that could not be decoded."""
+        return len(self._faults[table])
+
+    def malformed_ms(self, table: str) -> int:
+        """Return for how long a row of a table has been malformed, 0 if there is none, in ms."""
+        return self._faults[table].age_ms(self._clock.now_ms())
+
     def newer_than(self, revisions: dict[str, int]) -> tuple[Snapshot, ...]:
         """Return the tables whose content has changed since the given versions."""
         return tuple(
@@ -147,26 +160,26 @@
         if digest != self._digests.get(table):
             self._digests[table], self._changed[table] = digest, self._revisions[table]
         if table == self._schema.operator_table:
-            self._decode_operator_rows(rows, source)
+            self._report_faults(table, self._decode_operator_rows(rows, source))
         elif table == self._schema.member_table:
-            self._decode_members(rows)
+            self._report_faults(table, self._decode_members(rows))
         elif table == PEER_TABLE:
-            self._decode_peers(rows)
+            self._report_faults(table, self._decode_peers(rows))
         self._on_change(table)
 
-    def _decode_operator_rows(self, rows: dict[str, StoredRow], source: str) -> None:
+    def _decode_operator_rows(self, rows: dict[str, StoredRow], source: str) -> dict[str, RowFault]:
         prefix = self._schema.evacuation_prefix
         evacuated = {key.removeprefix(prefix) for key in rows if key.startswith(prefix)}
         if evacuated != self.evacuated:
             self._log.event('evacuation_changed', failure_domains=sorted(evacuated), source=source)
         self.evacuated = evacuated
         row = rows.get(self._schema.configuration_key)
-        if row is None or row.value is None:
-            return
-        cfg = self._schema.configuration(row.value)
+        if row is None:
+            return {}
+        cfg = _decode_row(self._schema.configuration, row.value or b'')
         if isinstance(cfg, Undecodable):
-            self._log.failure('row_undecodable', row=row.key, reason=cfg.reason)
-        elif self.configuration is None or cfg.version > self.configuration.version:
+            return {row.key: RowFault(row.revision, cfg.reason)}
+        if self.configuration is None or cfg.version > self.configuration.version:
             self.configuration = cfg
             self._log.event(
                 'configuration_adopted',
@@ -174,13 +187,15 @@
                 revision=row.revision,
                 source=source,
             )
+        return {}
 
-    def _decode_members(self, rows: dict[str, StoredRow]) -> None:
+    def _decode_members(self, rows: dict[str, StoredRow]) -> dict[str, RowFault]:
         members: dict[str, Member] = {}
+        faults: dict[str, RowFault] = {}
         for key, row in rows.items():
-            member = self._schema.member(key, row.value or b'')
+            member = _decode_row(self._schema.member, key, row.value or b'')
             if isinstance(member, Undecodable):
-                self._log.failure('row_undecodable', row=key, reason=member.reason)
+                faults[key] = RowFault(row.revision, member.reason)
             else:
                 members[key] = member._replace(revision=row.revision)
         now_ms = self._clock.now_ms()
@@ -195,15 +210,43 @@
             if key in members and key in self._missing:
                 del self._missing[key]
         self.members = members
+        return faults
 
-    def _decode_peers(self, rows: dict[str, StoredRow]) -> None:
-        peers = {}
+    def _decode_peers(self, rows: dict[str, StoredRow]) -> dict[str, RowFault]:
+        peers: dict[str, Peer] = {}
+        faults: dict[str, RowFault] = {}
         for key, row in rows.items():
-            try:
-                peers[key] = _peers.decode(row.value or b'')
-            except msgspec.DecodeError as exc:
-                self._log.failure('row_undecodable', row=key, reason=str(exc))
+            peer = _decode_row(_peers.decode, row.value or b'')
+            if isinstance(peer, Undecodable):
+                faults[key] = RowFault(row.revision, peer.reason)
+            else:
+                peers[key] = peer
         self.peers = peers
+        return faults
+
+    def _report_faults(self, table: str, faults: dict[str, RowFault]) -> None:
+        changes = self._faults[table].update(self._clock.now_ms(), faults)
+        for key, fault in changes.found.items():
+            self._log.failure(
+                'row_undecodable',
+                table=table,
+                row=key,
+                revision=fault.revision,
+                reason=fault.reason,
+            )
+        for key, age_ms in changes.ended_ms.items():
+            self._log.event('row_recovered', table=table, row=key, malformed_ms=age_ms)
+
+
+def _decode_row(decode: Callable[..., Any], *args: Any) -> Any:
+    """Decode one row; no content of a row may stop the adoption of the others."""
+    try:
+        decoded = decode(*args)
+    except Exception as exc:
+        decoded = Undecodable(f'{type(exc).__name__}: {exc}')
+    if isinstance(decoded, Undecodable):
+        return Undecodable(decoded.reason[:MAX_REASON_LENGTH])
+    return decoded
 
 
 def _digest(rows: dict[str, StoredRow]) -> int:
--- a/godwitthread/platform/gateway_process.py
+++ b/godwitthread/platform/gateway_process.py
@@ -33,6 +33,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from godwitthread.gateway.store_view import StoreView
     from godwitthread.platform.settings import NodeSettings
 
 #: Exit status for invalid settings.
@@ -101,6 +102,19 @@
             'table',
             {table: partial(self._evidence_age_s, table) for table in self.node.view.tables()},
         )
+        view, tables = self.node.view, self.node.view.tables()
+        metrics.gauges(
+            'godwitthread_store_malformed_rows',
+            'Rows of a store table that could not be decoded',
+            'table',
+            {table: partial(view.malformed_rows, table) for table in tables},
+        )
+        metrics.gauges(
+            'godwitthread_store_malformed_age_seconds',
+            'Time for which a store table has had a row that could not be decoded',
+            'table',
+            {table: partial(_malformed_s, view, table) for table in tables},
+        )
         self._metrics = metrics
         self._stop_requested = eventlet.event.Event()
         #: Number of failed readiness probes since the request to stop.
@@ -204,3 +218,7 @@
             return
         self._settings = settings
         self._log.event('settings_changed', accepted=True)
+
+
+def _malformed_s(view: StoreView, table: str) -> float:
+    return view.malformed_ms(table) / 1000
--- a/tests/test_gateway/test_store_view.py
+++ b/tests/test_gateway/test_store_view.py
@@ -9,7 +9,9 @@
 from godwitthread.address import Address
 from godwitthread.clock import Clock
 from godwitthread.core.catalog import Peer
+from godwitthread.events import EventLog, HybridLogicalClock
 from godwitthread.gateway import store_view
+from godwitthread.gateway.logs import Log
 from godwitthread.gateway.ports import Schema, StoredRow, StoredRows, Undecodable
 from godwitthread.gateway.store_view import PEER_TABLE, StoreView, encode_peer
 from tests.test_gateway.fakes import configuration, member, quiet_log
@@ -21,9 +23,11 @@
 
 
 def decode_member(name, value):
-    """Decode the address of a member."""
+    """Decode the address of a member; raise for a value that the decoder does not expect."""
     if not value:
         return Undecodable('empty')
+    if value == b'unexpected':
+        raise OverflowError('scripted')
     return member(name)._replace(address=Address(json.loads(value), 80))
 
 
@@ -39,11 +43,22 @@
         return self.now_s
 
 
-def make():
+def make(events=None):
     """Build a store view with a settable time."""
     time = Time()
     clock = Clock(time)
-    return StoreView(SCHEMA, clock, quiet_log(clock), lambda table: None), time
+    log = Log(events, clock) if events else quiet_log(clock)
+    return StoreView(SCHEMA, clock, log, lambda table: None), time
+
+
+def event_log():
+    """Build an event log that keeps its events in memory."""
+    return EventLog({}, HybridLogicalClock(Clock().wall_ms))
+
+
+def events_named(events, name):
+    """Return the recorded events with a name."""
+    return [event for event in events.since() if event['event'] == name]
 
 
 def rows(*pairs, revision):
@@ -158,3 +173,51 @@
         'servers'
     ]
     assert [snapshot.revision for snapshot in view.newer_than({'op': 9, 'servers': 20})] == [20]
+
+
+@pytest.mark.parametrize('value', [b'', b'unexpected'])
+def test_a_malformed_row_hides_no_change_of_other_rows(value):
+    """Guard against one entry of another writer that hides all later changes of the members."""
+    view, _ = make()
+    view.replace('servers', rows(('bad', value), ('m1', b'"10.0.0.1"'), revision=5))
+    assert set(view.members) == {'m1'}
+    view.apply_changes('servers', rows(('m2', b'"10.0.0.2"'), revision=6))
+    assert set(view.members) == {'m1', 'm2'}
+    assert view.revision('servers') == 6
+
+
+def test_a_malformed_configuration_hides_no_evacuation():
+    """Guard against work in a failure domain that is evacuated while a version is malformed."""
+    view, _ = make()
+    view.replace('op', rows(('config', b'7'), revision=10))
+    view.apply_changes('op', rows(('config', b'\xff'), ('evacuate/d1', b''), revision=11))
+    assert view.configuration.version == 7
+    assert view.evacuated == {'d1'}
+
+
+def test_a_malformed_row_is_reported_once_until_it_is_replaced():
+    """Guard against a line of log for each read, and against a fault that operators can't see."""
+    events = event_log()
+    view, time = make(events)
+    view.replace('servers', rows(('bad', b'unexpected'), revision=5))
+    for revision in range(6, 9):
+        time.now_s += 20
+        view.apply_changes('servers', rows(('m1', b'"10.0.0.1"'), revision=revision))
+    (found,) = events_named(events, 'row_undecodable')
+    assert (found['table'], found['row'], found['revision']) == ('servers', 'bad', 5)
+    assert found['reason'] == 'OverflowError: scripted'
+    assert (view.malformed_rows('servers'), view.malformed_ms('servers')) == (1, 60_000)
+    assert view.malformed_rows('op') == 0
+    view.apply_changes('servers', rows(('bad', b'"10.0.0.9"'), revision=9))
+    (recovered,) = events_named(events, 'row_recovered')
+    assert (recovered['row'], recovered['malformed_ms']) == ('bad', 60_000)
+    assert (view.malformed_rows('servers'), view.malformed_ms('servers')) == (0, 0)
+
+
+def test_the_reason_of_a_malformed_row_has_a_bounded_length():
+    """Guard against lines of log of the size of a row."""
+    events = event_log()
+    view, _ = make(events)
+    view.replace('servers', rows(('bad', b'"' + b'x' * 100_000), revision=5))
+    (found,) = events_named(events, 'row_undecodable')
+    assert len(found['reason']) <= store_view.MAX_REASON_LENGTH
--- a/tests/test_platform/test_row_decoding.py
+++ b/tests/test_platform/test_row_decoding.py
@@ -9,6 +9,7 @@
 from godwitthread.core.statements import Consistency
 from godwitthread.gateway.ports import Undecodable
 from godwitthread.platform import row_decoding
+from tests import malformed
 
 MEMBER = {
     'Service': 'g', 'Addr': '10.1.0.9:8080', 'Zone': 'z1', 'Version': 'v1', 'Slots': 2,
@@ -80,3 +81,46 @@
     """Guard against a member that is created from an incomplete entry."""
     value = {key: each for key, each in MEMBER.items() if key != field}
     assert isinstance(row_decoding.decode_member('i', json.dumps(value).encode()), Undecodable)
+
+
+@pytest.mark.parametrize('cold', ['Infinity', '-Infinity', 'NaN', '1e999', '-1', '9' * 400])
+def test_member_entry_with_a_number_out_of_range_is_undecodable(cold):
+    """Guard against one entry of another writer that hides all later changes of the members."""
+    value = json.dumps(MEMBER).replace('"ColdLeftMs": 0', f'"ColdLeftMs": {cold}').encode()
+    assert isinstance(row_decoding.decode_member('i', value), Undecodable)
+
+
+def test_no_malformed_member_entry_raises_or_yields_unusable_values():
+    """Guard against an unexpected error of the decoder, and against values that fail later."""
+    for value in malformed.documents(MEMBER):
+        member = row_decoding.decode_member('i', value)
+        if isinstance(member, Undecodable):
+            continue
+        assert 1 <= member.slots <= row_decoding.MAX_SLOTS
+        assert 0 <= member.cold_ms <= row_decoding.MAX_COLD_MS
+        assert 0 <= member.born <= row_decoding.MAX_INTEGER
+        f'START {member.group} o {member.id}'.encode('latin-1', 'backslashreplace')
+        member.failure_domain.encode()
+
+
+@pytest.mark.parametrize('key', ['', 'a b', 'a\r\nBYE', '\u2603', '\ud800', '\x00'])
+def test_member_entry_with_an_unusable_id_is_undecodable(key):
+    """Guard against an entry whose id ends every attempt to connect with an unexpected error."""
+    assert isinstance(row_decoding.decode_member(key, json.dumps(MEMBER).encode()), Undecodable)
+
+
+def test_no_malformed_configuration_raises_or_yields_unusable_values():
+    """Guard against an unexpected error of the decoder, and against values that fail later."""
+    for value in malformed.documents(CONFIGURATION):
+        cfg = row_decoding.decode_configuration(value)
+        if isinstance(cfg, Undecodable):
+            continue
+        numbers = [cfg.version, cfg.tx_idle_ms]
+        for route in cfg.routes.values():
+            numbers += [route.max_age_ms, route.timeout_ms, route.objective_ms, route.priority]
+            assert f'{route.database}{route.group}'.isprintable()
+        for organisation in cfg.keys.values():
+            numbers += [organisation.rate, organisation.burst]
+        for group in cfg.groups.values():
+            numbers += [group.connection_limit, group.cold_rate]
+        assert all(0 <= number <= row_decoding.MAX_INTEGER for number in numbers)
