Drop a member whose entry stays malformed

What callers could see: requests to a member whose entry in the store had become malformed, without a limit of time. PROTOCOL: such an entry names no member to use.

Cause: the former content was kept as for an entry that expired, but the grace period was ended by the row itself, malformed as it was.

Result: test_a_member_whose_entry_becomes_malformed_is_dropped_after_a_grace_period fails before the change and passes with it.

--- a/godwitthread/gateway/store_view.py
+++ b/godwitthread/gateway/store_view.py
@@ -198,6 +198,9 @@
                 faults[key] = RowFault(row.revision, member.reason)
             else:
                 members[key] = member._replace(revision=row.revision)
+        # A malformed entry names no member, so that it counts as missing.
+        for key in members.keys() & self._missing.keys():
+            del self._missing[key]
         now_ms = self._clock.now_ms()
         for key in self.members.keys() - members.keys():
             # If another member uses the address, the missing member no longer does.
@@ -206,9 +209,6 @@
                 continue
             self._missing.setdefault(key, now_ms)
             members[key] = self.members[key]
-        for key in rows.keys() & self._missing.keys():
-            if key in members and key in self._missing:
-                del self._missing[key]
         self.members = members
         return faults
 
--- a/tests/test_gateway/test_store_view.py
+++ b/tests/test_gateway/test_store_view.py
@@ -221,3 +221,27 @@
     view.replace('servers', rows(('bad', b'"' + b'x' * 100_000), revision=5))
     (found,) = events_named(events, 'row_undecodable')
     assert len(found['reason']) <= store_view.MAX_REASON_LENGTH
+
+
+def test_a_member_whose_entry_becomes_malformed_is_dropped_after_a_grace_period():
+    """Guard against requests to a member that has not had a valid entry for a long time."""
+    view, time = make()
+    view.replace('servers', rows(('m1', b'"10.0.0.1"'), ('m2', b'"10.0.0.2"'), revision=5))
+    view.apply_changes('servers', rows(('m1', b'unexpected'), revision=6))
+    view.apply_changes('servers', rows(('m2', b'"10.0.0.3"'), revision=7))
+    view.drop_missing_members()
+    assert set(view.members) == {'m1', 'm2'}
+    time.now_s += store_view.MISSING_MEMBER_MS / 1000
+    view.drop_missing_members()
+    assert set(view.members) == {'m2'}
+
+
+def test_a_member_whose_entry_is_corrected_is_kept():
+    """Guard against the loss of a member after a malformed entry that was replaced in time."""
+    view, time = make()
+    view.replace('servers', rows(('m1', b'"10.0.0.1"'), revision=5))
+    view.apply_changes('servers', rows(('m1', b'unexpected'), revision=6))
+    view.apply_changes('servers', rows(('m1', b'"10.0.0.1"'), revision=7))
+    time.now_s += store_view.MISSING_MEMBER_MS / 1000
+    view.drop_missing_members()
+    assert set(view.members) == {'m1'}
