Apply content again after an error without reading the table again

What callers could see: after an error while one group was updated, no change of any other group took effect at that instance, and it read the table from version 0 up to five times a second.

Cause: the content of a table was applied inside the adoption; one error ended the updates of all groups, and the copy was discarded to be read again. Found by reading; no input is known that triggers it.

Change: the view keeps the content, reports table_not_applied once and applies it again each second without a call to the store. Groups are updated and the steps of the housekeeping run independently of each other's errors. A table received from a peer no longer stops those behind it in the same answer.

--- a/godwitthread/events.py
+++ b/godwitthread/events.py
@@ -97,6 +97,10 @@
         _event_type(212, 'member_gone', 'backend server removed'),
         _event_type(213, 'feed_interrupted', 'call for changes without an answer given up'),
         _event_type(214, 'row_recovered', 'malformed row of the store replaced or removed'),
+        _event_type(
+            215, 'table_not_applied', 'content of a store table not applied', logging.ERROR
+        ),
+        _event_type(216, 'table_applied', 'content of a store table applied after a failure'),
         _event_type(301, 'primary_suspected', 'primary suspected', logging.WARNING),
         _event_type(302, 'fence_started', 'group fencing started'),
         _event_type(303, 'member_promoted', 'member promoted'),
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -24,6 +25,7 @@
 from godwitthread.gateway.authority_manager import AuthorityManager, ClaimRequest
 from godwitthread.gateway.failover import Failover
 from godwitthread.gateway.group_runner import TICK_MS, GroupRunner
+from godwitthread.gateway.isolation import run_all
 from godwitthread.gateway.links import HeartbeatStatus, Hello, Link
 from godwitthread.gateway.ownership_manager import ManagedGroup, OwnershipManager
 from godwitthread.gateway.peer_eviction import PeerEviction
@@ -37,7 +39,7 @@
 
 if TYPE_CHECKING:
     from godwitthread.clock import Clock
-    from godwitthread.core.catalog import Organisation, Peer
+    from godwitthread.core.catalog import Configuration, Group, Organisation, Peer
     from godwitthread.gateway.logs import Log
     from godwitthread.gateway.metrics import Metrics
     from godwitthread.gateway.ports import Ports
@@ -315,30 +317,36 @@
         return reach
 
     def _on_store_change(self, table: str) -> None:
-        if table == PEER_TABLE:
-            self._update_links()
-        self._update_groups()
-
-    def _update_groups(self) -> None:
+        """Apply the content of a table; raise an ExceptionGroup if a part of it failed."""
+        steps = [self._update_links] if table == PEER_TABLE else []
         cfg = self.view.configuration
-        if cfg is None:
-            return
-        self._organisations = {each.name: each for each in cfg.keys.values()}
-        for name, group in cfg.groups.items():
-            runner = self.runners.get(name)
-            if runner is None:
-                lease = self.authority.add(name)
-                runner = GroupRunner(name, self.clock, self._ports, self.log, self._admit, lease)
-                self.runners[name] = runner
-                failover = Failover(runner, self.clock, self.log, self._order)
-                self.ownership_manager.add(name, ManagedGroup(runner, failover))
-            members = {each.id: each for each in self.view.members.values() if each.group == name}
-            runner.update(group, members, self.view.evacuated, cfg.tx_idle_ms)
-        for name in self.runners.keys() - cfg.groups.keys():
-            del self.runners[name]
-            self.ownership_manager.remove(name)
-            self.authority.remove(name)
-        self._update_links()
+        if cfg is not None:
+            self._organisations = {each.name: each for each in cfg.keys.values()}
+            # A group that can't be updated must not keep the others from being updated.
+            steps += [partial(self._update_group, cfg, group) for group in cfg.groups.values()]
+            steps += [
+                partial(self._remove_group, name)
+                for name in self.runners.keys() - cfg.groups.keys()
+            ]
+            steps += [self._update_links]
+        run_all(steps)
+
+    def _update_group(self, cfg: Configuration, group: Group) -> None:
+        name = group.name
+        runner = self.runners.get(name)
+        if runner is None:
+            lease = self.authority.add(name)
+            runner = GroupRunner(name, self.clock, self._ports, self.log, self._admit, lease)
+            failover = Failover(runner, self.clock, self.log, self._order)
+            self.runners[name] = runner
+            self.ownership_manager.add(name, ManagedGroup(runner, failover))
+        members = {each.id: each for each in self.view.members.values() if each.group == name}
+        runner.update(group, members, self.view.evacuated, cfg.tx_idle_ms)
+
+    def _remove_group(self, name: str) -> None:
+        del self.runners[name]
+        self.ownership_manager.remove(name)
+        self.authority.remove(name)
 
     def _update_links(self) -> None:
         peers = {**self.view.peers, self.peer.name: self.peer}
@@ -387,15 +395,21 @@
                 links.logger.exception('housekeeping failed')
 
     def _tick(self) -> None:
-        self.view.drop_missing_members()
-        self.store_sync.tick()
-        self._update_ready_to_own()
-        self._end_sessions_in_minority()
-        self.ownership_manager.reconcile()
-        self.authority.update_voters(self.ownership_manager.candidates)
-        self.authority.tick(self.ownership_manager.active_groups())
-        self.ownership_manager.tick()
-        self._eviction.tick(lambda: self.ownership_manager.owner('evict') == self.peer.name)
+        manager = self.ownership_manager
+        run_all(
+            (
+                self.view.drop_missing_members,
+                self.view.retry,
+                self.store_sync.tick,
+                self._update_ready_to_own,
+                self._end_sessions_in_minority,
+                manager.reconcile,
+                lambda: self.authority.update_voters(manager.candidates),
+                lambda: self.authority.tick(manager.active_groups()),
+                manager.tick,
+                lambda: self._eviction.tick(lambda: manager.owner('evict') == self.peer.name),
+            )
+        )
 
     def _update_ready_to_own(self) -> None:
         """Allow ownership once the store content and the reachability of the peers are known."""
--- a/godwitthread/gateway/peer_sync.py
+++ b/godwitthread/gateway/peer_sync.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import random
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -20,8 +19,6 @@
     from godwitthread.gateway.logs import Log
     from godwitthread.gateway.store_view import StoreView
 
-logger = logging.getLogger(__name__)
-
 #: Time limit of a synchronization call, beyond the time that the peer may wait, in ms.
 CALL_TIMEOUT_MS = 300
 #: Time for which a peer may hold a request open until it has changes, in ms. The next request
@@ -113,14 +110,15 @@
         except (ProxyError, msgspec.DecodeError) as exc:
             self._log.failure('peer_lost', peer=link.peer.name, reason=str(exc))
             return False
+        adopted = True
         for snapshot in tables:
             try:
                 self._view.replace_from(snapshot, link.peer.name)
             except Exception:
-                # The thread must go on: without it, this instance would keep an old configuration.
-                logger.exception('table %s from %s not adopted', snapshot.table, link.peer.name)
-                return False
-        return True
+                # The view has reported the failure. Neither this thread nor the other tables may
+                # stop: this instance would keep an old configuration.
+                adopted = False
+        return adopted
 
     def _choose_link(self) -> Link | None:
         """Return the link to a peer that reports a newer table, else to any peer."""
--- a/godwitthread/gateway/store_probe.py
+++ b/godwitthread/gateway/store_probe.py
@@ -8,7 +8,7 @@
 
 from godwitthread.errors import ProxyError
 from godwitthread.gateway.ports import HistoryLostError
-from godwitthread.gateway.store_watcher import MAX_RETRY_MS, RETRY_MS
+from godwitthread.gateway.store_watcher import MAX_RETRY_MS, RETRY_MS, adopt
 from godwitthread.loop import eventlet
 
 if TYPE_CHECKING:
@@ -50,7 +50,7 @@
                 self._pause()
             except Exception:
                 # The thread must go on: without it, nobody might notice that the store is silent.
-                logger.exception('table %s not adopted', table)
+                logger.exception('table %s not read', table)
                 self._pause()
             else:
                 self._retry_ms = RETRY_MS
@@ -61,10 +61,10 @@
         view, begun_ms = context.view, context.clock.now_ms()
         try:
             content = self._store.changes(table, view.revision(table), 0)
-            view.apply_changes(table, content)
+            adopt(view.apply_changes, table, content)
         except HistoryLostError:
             content = self._store.table(table)
-            view.replace(table, content)
+            adopt(view.replace, table, content)
         context.on_answer(begun_ms, content.revision, True)
 
     def _pause(self) -> None:
--- a/godwitthread/gateway/store_view.py
+++ b/godwitthread/gateway/store_view.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import logging
 from typing import TYPE_CHECKING, NamedTuple
 
 import msgspec
@@ -21,6 +23,8 @@
     from godwitthread.gateway.logs import Log
     from godwitthread.gateway.ports import Schema
 
+logger = logging.getLogger(__name__)
+
 #: Table of the store in which the instances register themselves.
 PEER_TABLE = 'instances'
 #: Source of content that was read from the store; other sources are names of instances.
@@ -30,6 +34,8 @@
 MISSING_MEMBER_MS = 2_500
 #: Maximum length of the reason in an event; a decoder may quote the content, up to 1 MB.
 MAX_REASON_LENGTH = 200
+#: Interval at which content is applied again after a failure, in ms. It needs no call to the store.
+APPLY_RETRY_MS = 1_000
 
 _peers = msgspec.json.Decoder(Peer)
 
@@ -42,6 +48,13 @@
     rows: tuple[StoredRow, ...]
 
 
+class _Failure(NamedTuple):
+    """Failure to apply the content of a table."""
+
+    since_ms: int
+    tried_ms: int
+
+
 class StoreView:
     """Copy of the store tables and their decoded rows."""
 
@@ -64,6 +77,8 @@
         self._changed: dict[str, int] = {}
         self._missing: dict[str, int] = {}
         self._faults = {table: RowFaults() for table in self.tables()}
+        #: Tables whose content `on_change` failed to apply.
+        self._unapplied: dict[str, _Failure] = {}
 
     def tables(self) -> tuple[str, str, str]:
         """Return the names of the copied tables."""
@@ -80,10 +95,12 @@
     def replace(self, table: str, content: StoredRows, source: str = STORE) -> None:
         """Replace a whole table, unless the content is not newer than the copy."""
         if content.revision <= self.revision(table):
+            if table in self._unapplied:
+                self._apply(table)
             return
         self._tables[table] = {row.key: row for row in content.rows}
         self._revisions[table] = content.revision
-        self._decode(table, source)
+        self._adopt(table, source)
 
     def replace_from(self, snapshot: Snapshot, peer: str) -> None:
         """Replace a table by the copy of another instance if that is newer."""
@@ -101,15 +118,18 @@
                 rows[row.key] = row
         self._revisions[table] = content.revision
         if content.rows:
-            self._decode(table, STORE)
+            self._adopt(table, STORE)
 
     def malformed_rows(self, table: str) -> int:
         """Return the number of rows of a table that could not be decoded."""
         return len(self._faults[table])
 
-    def malformed_ms(self, table: str) -> int:
-        """Return for how long a row of a table has been malformed, 0 if there is none, in ms."""
-        return self._faults[table].age_ms(self._clock.now_ms())
+    def not_in_force_ms(self, table: str) -> int:
+        """Return for how long a part of the content has not been in force, 0 if all is, in ms."""
+        now_ms = self._clock.now_ms()
+        failure = self._unapplied.get(table)
+        unapplied_ms = now_ms - failure.since_ms if failure else 0
+        return max(unapplied_ms, self._faults[table].age_ms(now_ms))
 
     def newer_than(self, revisions: dict[str, int]) -> tuple[Snapshot, ...]:
         """Return the tables whose content has changed since the given versions."""
@@ -144,15 +164,15 @@
             self.members.pop(member_id, None)
             self._log.event('member_gone', member=member_id)
         if gone:
-            self._on_change(self._schema.member_table)
+            self._apply(self._schema.member_table)
 
-    def _decode(self, table: str, source: str) -> None:
-        try:
-            self._adopt(table, source)
-        except Exception:
-            # Without a version, the next whole read replaces the copy even if nothing changed.
-            self._revisions[table] = self._digests[table] = self._changed[table] = 0
-            raise
+    def retry(self) -> None:
+        """Apply content again whose last attempt failed APPLY_RETRY_MS ago."""
+        now_ms = self._clock.now_ms()
+        for table, failure in list(self._unapplied.items()):
+            if now_ms - failure.tried_ms >= APPLY_RETRY_MS:
+                with contextlib.suppress(Exception):
+                    self._apply(table)
 
     def _adopt(self, table: str, source: str) -> None:
         rows = self._tables[table]
@@ -165,7 +185,25 @@
             self._report_faults(table, self._decode_members(rows))
         elif table == PEER_TABLE:
             self._report_faults(table, self._decode_peers(rows))
-        self._on_change(table)
+        self._apply(table)
+
+    def _apply(self, table: str) -> None:
+        now_ms = self._clock.now_ms()
+        failure = self._unapplied.get(table)
+        try:
+            self._on_change(table)
+        except Exception as exc:
+            if failure is None:
+                logger.exception('content of table %s not applied', table)
+                reason = f'{type(exc).__name__}: {exc}'[:MAX_REASON_LENGTH]
+                self._log.event('table_not_applied', table=table, reason=reason)
+            since_ms = failure.since_ms if failure else now_ms
+            self._unapplied[table] = _Failure(since_ms, now_ms)
+            raise
+        if failure is not None:
+            del self._unapplied[table]
+            age_ms = now_ms - failure.since_ms
+            self._log.event('table_applied', table=table, not_in_force_ms=age_ms)
 
     def _decode_operator_rows(self, rows: dict[str, StoredRow], source: str) -> dict[str, RowFault]:
         prefix = self._schema.evacuation_prefix
--- a/godwitthread/gateway/store_watcher.py
+++ b/godwitthread/gateway/store_watcher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import random
 from collections.abc import Callable
@@ -17,7 +18,7 @@
 from godwitthread.loop import eventlet
 
 if TYPE_CHECKING:
-    from godwitthread.gateway.ports import Store
+    from godwitthread.gateway.ports import Store, StoredRows
 
 logger = logging.getLogger(__name__)
 
@@ -102,9 +103,9 @@
                 continue
             except Exception:
                 # The thread must go on: without it, this instance would keep an old configuration.
-                logger.exception('table %s not adopted', self.table)
-                self._loaded = False
+                logger.exception('table %s not read', self.table)
                 self._pause()
+                self._retry_ms = min(MAX_RETRY_MS, 2 * self._retry_ms)
                 continue
             self._set_healthy(True, '')
             self._retry_ms = RETRY_MS
@@ -132,8 +133,8 @@
         table, view, begun_ms = self.table, self._view, self._called_ms
         if not self._loaded or not view.revision(table):
             content = self._store.table(table)
-            view.replace(table, content)
             self._loaded = True
+            adopt(view.replace, table, content)
         else:
             # The first call after a failure returns at once, so that a recovery is detected.
             wait_ms = MAX_CHANGE_WAIT_MS if self.healthy else 0
@@ -142,7 +143,7 @@
                 content = self._store.changes(table, view.revision(table), wait_ms)
             finally:
                 self.call = None
-            view.apply_changes(table, content)
+            adopt(view.apply_changes, table, content)
         self._context.on_answer(begun_ms, content.revision, False)
 
     def _set_healthy(self, healthy: bool, reason: str) -> None:
@@ -154,3 +155,13 @@
             if healthy:
                 self._health.notify_recovered()
         self.healthy = healthy
+
+
+def adopt(update: Callable[[str, StoredRows], None], table: str, content: StoredRows) -> None:
+    """Pass an answer of the store to the view.
+
+    After a failure to apply it, the view has the content, has reported the failure and tries
+    again. To read the table again would not help, and every instance would do so.
+    """
+    with contextlib.suppress(Exception):
+        update(table, content)
--- a/godwitthread/platform/gateway_process.py
+++ b/godwitthread/platform/gateway_process.py
@@ -110,10 +110,10 @@
             {table: partial(view.malformed_rows, table) for table in tables},
         )
         metrics.gauges(
-            'godwitthread_store_malformed_age_seconds',
-            'Time for which a store table has had a row that could not be decoded',
+            'godwitthread_store_not_in_force_seconds',
+            'Time for which a part of the content of a store table has not been in force',
             'table',
-            {table: partial(_malformed_s, view, table) for table in tables},
+            {table: partial(_not_in_force_s, view, table) for table in tables},
         )
         self._metrics = metrics
         self._stop_requested = eventlet.event.Event()
@@ -220,5 +220,5 @@
         self._log.event('settings_changed', accepted=True)
 
 
-def _malformed_s(view: StoreView, table: str) -> float:
-    return view.malformed_ms(table) / 1000
+def _not_in_force_s(view: StoreView, table: str) -> float:
+    return view.not_in_force_ms(table) / 1000
--- a/tests/test_gateway/test_store_view.py
+++ b/tests/test_gateway/test_store_view.py
@@ -206,12 +206,12 @@
     (found,) = events_named(events, 'row_undecodable')
     assert (found['table'], found['row'], found['revision']) == ('servers', 'bad', 5)
     assert found['reason'] == 'OverflowError: scripted'
-    assert (view.malformed_rows('servers'), view.malformed_ms('servers')) == (1, 60_000)
+    assert (view.malformed_rows('servers'), view.not_in_force_ms('servers')) == (1, 60_000)
     assert view.malformed_rows('op') == 0
     view.apply_changes('servers', rows(('bad', b'"10.0.0.9"'), revision=9))
     (recovered,) = events_named(events, 'row_recovered')
     assert (recovered['row'], recovered['malformed_ms']) == ('bad', 60_000)
-    assert (view.malformed_rows('servers'), view.malformed_ms('servers')) == (0, 0)
+    assert (view.malformed_rows('servers'), view.not_in_force_ms('servers')) == (0, 0)
 
 
 def test_the_reason_of_a_malformed_row_has_a_bounded_length():
@@ -245,3 +245,31 @@
     time.now_s += store_view.MISSING_MEMBER_MS / 1000
     view.drop_missing_members()
     assert set(view.members) == {'m1'}
+
+
+def test_content_that_could_not_be_applied_is_applied_without_another_read():
+    """Guard against an instance that reads a table again and again after an error."""
+    events, time, failures = event_log(), Time(), [ValueError('scripted')] * 3
+    clock = Clock(time)
+
+    def on_change(table):
+        if failures:
+            raise failures.pop()
+
+    view = StoreView(SCHEMA, clock, Log(events, clock), on_change)
+    with pytest.raises(ValueError, match='scripted'):
+        view.replace('op', rows(('config', b'7'), revision=10))
+    assert view.revision('op') == 10
+    view.retry()
+    assert len(failures) == 2
+    for _ in range(2):
+        time.now_s += store_view.APPLY_RETRY_MS / 1000
+        view.retry()
+    assert (failures, view.not_in_force_ms('op')) == ([], 2 * store_view.APPLY_RETRY_MS)
+    time.now_s += store_view.APPLY_RETRY_MS / 1000
+    view.retry()
+    assert view.not_in_force_ms('op') == 0
+    (failed,) = events_named(events, 'table_not_applied')
+    (applied,) = events_named(events, 'table_applied')
+    assert (failed['table'], failed['reason']) == ('op', 'ValueError: scripted')
+    assert applied['not_in_force_ms'] == 3 * store_view.APPLY_RETRY_MS
--- a/tests/test_system/gateways.py
+++ b/tests/test_system/gateways.py
@@ -52,7 +52,7 @@
             self._start(number)
         wait_until(lambda: all(node.ready() for node in self.nodes))
 
-    def configure(self) -> None:
+    def configure(self, *groups: str) -> None:
         """Have the store accept the next version of the configuration."""
         while self.silent:
             eventlet.sleep(CHECK_S)
@@ -60,7 +60,7 @@
         content = {
             'Version': version,
             'Routes': [],
-            'Services': [{'Name': GROUP, 'MaxConns': 16}],
+            'Services': [{'Name': name, 'MaxConns': 16} for name in groups or (GROUP,)],
             'Limits': {'TxIdleMs': 3_000},
             'Tenants': [],
         }
--- a/tests/test_system/test_gateway_configuration.py
+++ b/tests/test_system/test_gateway_configuration.py
@@ -4,8 +4,9 @@
 
 import pytest
 
+from godwitthread.gateway.group_runner import GroupRunner
 from godwitthread.loop import eventlet
-from tests.test_system.gateways import GatewayDeployment, wait_until
+from tests.test_system.gateways import GROUP, GatewayDeployment, wait_until
 
 #: Time after its acceptance within which a version is in force at every instance, in ms, and time
 #: after the end of a store outage from which that holds again: `ApplyMs` and `ContactMs` of the
@@ -94,3 +95,32 @@
         deployment.configure()
         assert not deployment.watch(4, APPLY_MS)
     wait_until(lambda: not deployment.outdated(0))
+
+
+def test_a_group_that_can_not_be_updated_stops_no_other(start, monkeypatch):
+    """Guard against an error of one group that keeps changes of all others from taking effect."""
+    update, failing = GroupRunner.update, {'invoices'}
+
+    def fail_for_some(runner, group, *args):
+        if group.name in failing:
+            raise ValueError('scripted')
+        update(runner, group, *args)
+
+    monkeypatch.setattr(GroupRunner, 'update', fail_for_some)
+    deployment = start(3)
+    eventlet.sleep(5)
+    calls = deployment.store.calls
+    eventlet.sleep(10)
+    calm_calls = deployment.store.calls - calls
+    deployment.configure('invoices', GROUP, 'refills')
+    deployment.announce('m0', 'draining')
+    calls = deployment.store.calls
+    eventlet.sleep(10)
+    for node in deployment.nodes:
+        assert node.runners.keys() == {'invoices', GROUP, 'refills'}
+        assert node.runners[GROUP].members['m0'].draining
+        assert node.view.not_in_force_ms('op') > 5_000
+    # The two changes take a call of each of the three instances, and one more a second apart.
+    assert deployment.store.calls - calls <= calm_calls + 12
+    failing.clear()
+    wait_until(lambda: not any(node.view.not_in_force_ms('op') for node in deployment.nodes))
