Check the entries of instances, and keep the last valid one

What callers could see: statements that wait for an owner nobody can reach, and a change of many owners for up to 2 s.

Cause: an entry with a capacity of 0 or below, with a port that no address has, or with the name of another instance was adopted. A malformed entry took its instance out of the candidates until the instance wrote it again.

Change: decode_peer checks address, name, capacity and incarnation. While the entry of an instance is malformed, its last valid content holds; the instance itself writes the entry again within 2 s, and the row of an instance that is gone is removed as before.

--- a/godwitthread/gateway/store_view.py
+++ b/godwitthread/gateway/store_view.py
@@ -9,6 +9,7 @@
 import msgspec
 import xxhash
 
+from godwitthread.address import parse_address
 from godwitthread.core.catalog import Peer
 from godwitthread.core.row_faults import RowFault, RowFaults
 from godwitthread.core.table_freshness import TableContent
@@ -36,6 +37,11 @@
 MAX_REASON_LENGTH = 200
 #: Interval at which content is applied again after a failure, in ms. It needs no call to the store.
 APPLY_RETRY_MS = 1_000
+#: Upper bound of the capacity of an instance, in cores. The largest capacity decides which
+#: instances count as slow, so that a malformed one would make all others slow.
+MAX_CAPACITY = 10_000
+#: Upper bound of a start time in ms: an integer that all JSON readers keep.
+MAX_INCARNATION = 2**53
 
 _peers = msgspec.json.Decoder(Peer)
 
@@ -254,11 +260,15 @@
         peers: dict[str, Peer] = {}
         faults: dict[str, RowFault] = {}
         for key, row in rows.items():
-            peer = _decode_row(_peers.decode, row.value or b'')
-            if isinstance(peer, Undecodable):
-                faults[key] = RowFault(row.revision, peer.reason)
-            else:
+            peer = _decode_row(decode_peer, key, row.value or b'')
+            if not isinstance(peer, Undecodable):
                 peers[key] = peer
+                continue
+            faults[key] = RowFault(row.revision, peer.reason)
+            # The instance writes its entry again within 2 s. Without the former content, the
+            # owners of many groups would change twice until then.
+            if key in self.peers:
+                peers[key] = self.peers[key]
         self.peers = peers
         return faults
 
@@ -296,3 +306,14 @@
 def encode_peer(peer: Peer) -> bytes:
     """Return the content of the row of an instance."""
     return msgspec.json.encode(peer)
+
+
+def decode_peer(name: str, value: bytes) -> Peer:
+    """Decode the content of the row of an instance; raise ValueError."""
+    peer = _peers.decode(value)
+    parse_address(str(peer.address))
+    if peer.name != name:
+        raise ValueError(f'the entry names instance {peer.name!r}')
+    if not 0 < peer.capacity <= MAX_CAPACITY or not 0 <= peer.incarnation <= MAX_INCARNATION:
+        raise ValueError(f'invalid capacity {peer.capacity} or incarnation {peer.incarnation}')
+    return peer
--- a/tests/test_gateway/test_store_view.py
+++ b/tests/test_gateway/test_store_view.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import json
 
 import pytest
@@ -14,6 +15,7 @@
 from godwitthread.gateway.logs import Log
 from godwitthread.gateway.ports import Schema, StoredRow, StoredRows, Undecodable
 from godwitthread.gateway.store_view import PEER_TABLE, StoreView, encode_peer
+from tests import malformed
 from tests.test_gateway.fakes import configuration, member, quiet_log
 
 
@@ -273,3 +275,37 @@
     (applied,) = events_named(events, 'table_applied')
     assert (failed['table'], failed['reason']) == ('op', 'ValueError: scripted')
     assert applied['not_in_force_ms'] == 3 * store_view.APPLY_RETRY_MS
+
+
+PEER = Peer('a', Address('10.0.0.1', 7000), 'd1', 1.0, 5)
+
+
+def test_no_malformed_entry_of_an_instance_yields_unusable_values():
+    """Guard against an instance that is chosen as an owner although nobody can reach it."""
+    for revision, value in enumerate(malformed.documents(json.loads(encode_peer(PEER))), 1):
+        view, _ = make()
+        view.replace(PEER_TABLE, rows(('a', value), revision=revision))
+        for peer in view.peers.values():
+            assert peer.name == 'a'
+            assert 0 < peer.capacity <= store_view.MAX_CAPACITY
+            assert 0 < peer.address.port < 65_536
+            assert ipaddress.ip_address(peer.address.host)
+            assert 0 <= peer.incarnation <= store_view.MAX_INCARNATION
+
+
+def test_an_entry_with_the_name_of_another_instance_is_malformed():
+    """Guard against work for an instance that is sent to the address in a second entry."""
+    view, _ = make()
+    view.replace(PEER_TABLE, rows(('b', encode_peer(PEER)), revision=3))
+    assert view.peers == {}
+
+
+def test_an_instance_whose_entry_becomes_malformed_keeps_its_last_entry():
+    """Guard against a change of all owners before the instance has written its entry again."""
+    view, _ = make()
+    view.replace(PEER_TABLE, rows(('a', encode_peer(PEER)), revision=3))
+    view.apply_changes(PEER_TABLE, rows(('a', b'{'), revision=4))
+    assert view.peers == {'a': PEER}
+    assert view.malformed_rows(PEER_TABLE) == 1
+    view.apply_changes(PEER_TABLE, rows(('a', None), revision=5))
+    assert view.peers == {}
