Take the promotion duty although its row is malformed

What callers could see: no writes to a group whose primary is lost, for as long as the row of the duty is malformed. An instance that read it while it registered never wrote its entry again.

Cause: a row that could not be decoded raised DecodeError in the holder, in each order, and in the thread that registers the instance, which ended.

Change: a malformed row leaves the duty vacant. The tokens in use are unknown then; the first token is taken from the store's version of the row, which is above all earlier ones, as each batch of 1,000 took a write. Registration has a module of its own, and an unexpected error doesn't end its thread.

--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
@@ -32,9 +31,10 @@
 from godwitthread.gateway.peer_sync import ViewRequest
 from godwitthread.gateway.promotion_duty import OrderAnswer, OrderRequest, PromotionDuty
 from godwitthread.gateway.rate_limiter import GrantRequest, RateLimiter
+from godwitthread.gateway.registration import Registration
 from godwitthread.gateway.sessions import ANONYMOUS, Sessions
 from godwitthread.gateway.store_sync import ReaderRole, StoreSync
-from godwitthread.gateway.store_view import PEER_TABLE, StoreView, encode_peer
+from godwitthread.gateway.store_view import PEER_TABLE, StoreView
 from godwitthread.loop import eventlet
 
 if TYPE_CHECKING:
@@ -43,6 +43,7 @@
     from godwitthread.gateway.logs import Log
     from godwitthread.gateway.metrics import Metrics
     from godwitthread.gateway.ports import Ports
+    from godwitthread.gateway.promotion_duty import Holder
 
 #: Delay before a statement is sent to the owner of its group again, in ms.
 ROUTE_RETRY_MS = 30
@@ -54,9 +55,6 @@
 #: reached all candidates, in ms. Without it, each of several instances that start at the same time
 #: would own everything.
 OWNERSHIP_START_DELAY_MS = 400
-#: Interval at which an instance checks that the store holds its entry, in ms. The others learn its
-#: address from the entry.
-REGISTER_MS = 2_000
 #: Time without a majority after which idle sessions are ended, in ms, so that their callers connect
 #: to other instances.
 MINORITY_GRACE_MS = 400
@@ -132,7 +130,19 @@
     def start(self) -> None:
         """Register this instance, watch the store and start to own groups."""
         self._threads = self.store_sync.start()
-        self._threads += [eventlet.spawn(self._register), eventlet.spawn(self._tick_forever)]
+        self._threads += [self._spawn_registration(), eventlet.spawn(self._tick_forever)]
+
+    def _spawn_registration(self) -> Any:
+        registration = Registration(
+            self.peer,
+            self.view,
+            self._ports,
+            self.log,
+            self.duty,
+            lambda: self.ownership_manager.owner('duty') == self.peer.name,
+            self._may_be_running,
+        )
+        return eventlet.spawn(registration.run, self.store_sync.health, lambda: self.leaving)
 
     def stop(self) -> None:
         """End all threads and links at once, as the end of the process does."""
@@ -437,38 +447,11 @@
         if self._ready_to_own and now_ms - self._minority_since_ms >= MINORITY_GRACE_MS:
             self.sessions.enter(Phase.DRAINING)
 
-    def _register(self) -> None:
-        """Keep the entry of this instance in the store, and the promotion duty taken."""
-        content, health = encode_peer(self.peer), self.store_sync.health
-        while not self.leaving:
-            if self.view.row_value(PEER_TABLE, self.peer.name) != content:
-                try:
-                    self._ports.store().put(PEER_TABLE, self.peer.name, content)
-                    self.log.event('instance_registered', incarnation=self.peer.incarnation)
-                except ProxyError as exc:
-                    self.log.failure('store_unavailable', table=PEER_TABLE, reason=exc.message)
-            if not self.duty.held and self._is_preferred_holder():
-                self._take_vacant_duty()
-            wait_ms = random.uniform(0.8, 1.2) * REGISTER_MS
-            health.wait(wait_ms, health.recoveries)
-
-    def _is_preferred_holder(self) -> bool:
-        return self.ownership_manager.owner('duty') == self.peer.name
-
-    def _take_vacant_duty(self) -> None:
-        """Take the promotion duty in advance, so that tokens are reserved before a store outage."""
-        try:
-            holder = self.duty.holder()
-            peer = self.view.peers.get(holder.name) if holder else None
-            if holder and peer and peer.incarnation == holder.incarnation:
-                link = self._links.get(holder.name)
-                if link is None or link.up or holder.name == self.peer.name:
-                    return
-            self.duty.take()
-        except ProxyError as exc:
-            self.log.failure(
-                'store_unavailable', table=promotion_duty.DUTY_TABLE, reason=exc.message
-            )
+    def _may_be_running(self, holder: Holder) -> bool:
+        peer, link = self.view.peers.get(holder.name), self._links.get(holder.name)
+        if peer is None or peer.incarnation != holder.incarnation:
+            return False
+        return link is None or link.up
 
     # Helpers
 
--- a/godwitthread/gateway/promotion_duty.py
+++ b/godwitthread/gateway/promotion_duty.py
@@ -21,6 +21,8 @@
 #: Number of fencing tokens that a holder reserves with one write to the store. Each order uses
 #: a new token, so the next order fences off one without an answer, even during a store outage.
 TOKEN_BATCH = 1_000
+#: Upper bound of the tokens in the row; a larger one is not from an instance.
+MAX_TOKEN = 2**53
 #: Time limit of the first order, in ms. The platform answers after about 30 ms, before the member
 #: is the primary. Writers wait meanwhile, so a lost answer must be detected soon.
 ORDER_TIMEOUT_MS = 400
@@ -90,7 +92,9 @@
     def take(self) -> None:
         """Become the holder; raise ProxyError if the store fails or another instance is first."""
         holder, revision = self._read()
-        first = holder.first_token + TOKEN_BATCH if holder else TOKEN_BATCH
+        # A malformed row hides the tokens in use. Each batch took a write of its own, and the
+        # store's version rises with each write, so that this is above all of them.
+        first = holder.first_token + TOKEN_BATCH if holder else max(1, revision) * TOKEN_BATCH
         mine = Holder(self._name, self._incarnation, first)
         try:
             store = self._ports.store()
@@ -156,9 +160,26 @@
         content = self._ports.store().table(DUTY_TABLE)
         for row in content.rows:
             if row.key == PROMOTION_ROW and row.value is not None:
-                return _holders.decode(row.value), row.revision
+                return self._decode(row.value, row.revision), row.revision
         return None, 0
 
+    def _decode(self, value: bytes, revision: int) -> Holder | None:
+        """Return the holder, None if the row is malformed, so that the duty counts as vacant."""
+        try:
+            holder = _holders.decode(value)
+            if not 0 < holder.first_token <= MAX_TOKEN:
+                raise ValueError(f'invalid token {holder.first_token}')
+        except (ValueError, RecursionError) as exc:
+            self._log.failure(
+                'row_undecodable',
+                table=DUTY_TABLE,
+                row=PROMOTION_ROW,
+                revision=revision,
+                reason=str(exc),
+            )
+            return None
+        return holder
+
 
 def order_through_holder(
     duty: PromotionDuty,
--- /dev/null
+++ b/godwitthread/gateway/registration.py
@@ -0,0 +1,86 @@
+"""Registration of an instance in the store, and of the holder of the promotion duty."""
+
+from __future__ import annotations
+
+import logging
+import random
+from typing import TYPE_CHECKING
+
+from godwitthread.errors import ProxyError
+from godwitthread.gateway import promotion_duty
+from godwitthread.gateway.isolation import run_all
+from godwitthread.gateway.store_view import PEER_TABLE, encode_peer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from godwitthread.core.catalog import Peer
+    from godwitthread.gateway.logs import Log
+    from godwitthread.gateway.ports import Ports
+    from godwitthread.gateway.promotion_duty import Holder, PromotionDuty
+    from godwitthread.gateway.store_health import StoreHealth
+    from godwitthread.gateway.store_view import StoreView
+
+logger = logging.getLogger(__name__)
+
+#: Interval at which an instance checks that the store holds its entry, in ms. The others learn its
+#: address from the entry.
+REGISTER_MS = 2_000
+
+
+class Registration:
+    """Keep the entry of an instance in the store, and the promotion duty taken."""
+
+    def __init__(
+        self,
+        peer: Peer,
+        view: StoreView,
+        ports: Ports,
+        log: Log,
+        duty: PromotionDuty,
+        is_preferred_holder: Callable[[], bool],
+        may_be_running: Callable[[Holder], bool],
+    ) -> None:
+        self._peer = peer
+        self._view = view
+        self._ports = ports
+        self._log = log
+        self._duty = duty
+        #: Returns whether this instance comes first as the holder of the duty.
+        self._is_preferred_holder = is_preferred_holder
+        #: Returns whether a holder of the duty may still be running.
+        self._may_be_running = may_be_running
+
+    def run(self, health: StoreHealth, is_leaving: Callable[[], bool]) -> None:
+        """Check the entry and the duty until the instance is leaving."""
+        while not is_leaving():
+            try:
+                run_all((self._write_entry, self._take_vacant_duty))
+            except Exception:
+                # Without this thread, the other instances would not learn a new address.
+                logger.exception('registration of %s failed', self._peer.name)
+            wait_ms = random.uniform(0.8, 1.2) * REGISTER_MS
+            health.wait(wait_ms, health.recoveries)
+
+    def _write_entry(self) -> None:
+        content = encode_peer(self._peer)
+        if self._view.row_value(PEER_TABLE, self._peer.name) == content:
+            return
+        try:
+            self._ports.store().put(PEER_TABLE, self._peer.name, content)
+            self._log.event('instance_registered', incarnation=self._peer.incarnation)
+        except ProxyError as exc:
+            self._log.failure('store_unavailable', table=PEER_TABLE, reason=exc.message)
+
+    def _take_vacant_duty(self) -> None:
+        """Take the promotion duty in advance, so that tokens are reserved before a store outage."""
+        if self._duty.held or not self._is_preferred_holder():
+            return
+        try:
+            holder = self._duty.holder()
+            if holder is None or not self._may_be_running(holder):
+                self._duty.take()
+        except ProxyError as exc:
+            self._log.failure(
+                'store_unavailable', table=promotion_duty.DUTY_TABLE, reason=exc.message
+            )
--- a/tests/test_gateway/test_promotion_duty.py
+++ b/tests/test_gateway/test_promotion_duty.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from random import Random
+
 import msgspec
 import pytest
 
@@ -197,3 +199,50 @@
     with pytest.raises(ProxyError):
         former.order('orders', 'm1')
     assert sent == []
+
+
+@pytest.mark.parametrize(
+    'value',
+    [
+        b'',
+        b'\xff',
+        b'{}',
+        b'["a",1]',
+        b'["a",1,1e999]',
+        b'["a",1,-5]',
+        b'["a",1,' + b'9' * 40 + b']',
+    ],
+)
+def test_the_duty_can_be_taken_although_its_row_is_malformed(value):
+    """Guard against primaries that can't be replaced while the row of the duty is malformed."""
+    store = OneRowStore()
+    former, former_orders = duty(store, 'a')
+    former.take()
+    for _ in range(TOKEN_BATCH):
+        former.order('g', 'm')
+    store.revision += 1
+    store.row = StoredRow('promotion', value, store.revision)
+    made, orders = duty(store, 'b')
+    assert made.holder() is None
+    made.take()
+    made.order('g', 'm')
+    assert orders[-1][1] > max(token for _, token in former_orders)
+    next_holder, next_orders = duty(store, 'c')
+    next_holder.take()
+    next_holder.order('g', 'm')
+    assert next_orders[-1][1] >= orders[-1][1] + TOKEN_BATCH
+
+
+def test_tokens_rise_through_changes_of_the_holder_and_malformed_rows():
+    """Guard against a token below an earlier one after the row of the duty was malformed."""
+    random, store, newest = Random(5), OneRowStore(), 0
+    for number in range(200):
+        if random.random() < 0.3:
+            store.revision += 1
+            store.row = StoredRow('promotion', b'{', store.revision)
+        made, orders = duty(store, f'i{number}')
+        made.take()
+        for _ in range(random.choice([1, TOKEN_BATCH])):
+            made.order('g', 'm')
+        assert orders[0][1] > newest
+        newest = orders[-1][1]
--- a/tests/test_system/test_gateway_configuration.py
+++ b/tests/test_system/test_gateway_configuration.py
@@ -124,3 +124,16 @@
     assert deployment.store.calls - calls <= calm_calls + 12
     failing.clear()
     wait_until(lambda: not any(node.view.not_in_force_ms('op') for node in deployment.nodes))
+
+
+def test_the_duty_is_taken_and_instances_register_after_malformed_rows(start):
+    """Guard against a thread that ends at a malformed row and leaves a deployment for good."""
+    deployment = start(3)
+    wait_until(lambda: any(node.duty.held for node in deployment.nodes))
+    deployment.store.put('duties', 'promotion', b'{"name": 5}')
+    deployment.store.put('instances', 'entry-1', b'[1e999]')
+    for node in deployment.nodes:
+        node.duty.lose()
+    wait_until(lambda: any(node.duty.held for node in deployment.nodes))
+    wait_until(lambda: not any(node.view.malformed_rows('instances') for node in deployment.nodes))
+    assert all(node.ready() for node in deployment.nodes)
