Read the other rows of a table although one value is not base64

Errors other than ProxyError were not retried with a growing delay and not seen as failures of the store.

Change: a malformed value is empty content, which no decoder accepts and which is reported with its key; lone surrogates in keys are escaped. What the store itself adds is checked, and a malformed answer is a failed call: unavailable for a read, unknown for a write.

Result: 26 new cases of test_store fail before the change and pass with it.

--- a/godwitthread/platform/store.py
+++ b/godwitthread/platform/store.py
@@ -53,16 +53,17 @@
             query = {'Table': table, 'part': '', 'PageSize': PAGE_ROWS}
             if start:
                 query['From'] = start
-            path = f'/v1/rows-get?{urlencode(query)}'
+            # A key with a lone surrogate is sent back as it was received.
+            path = f'/v1/rows-get?{urlencode(query, errors="surrogatepass")}'
             response = self._read(path)
-            page = [_decode_row(each) for each in response['rows']]
-            rows += page
+            page = _decode_rows(response)
+            rows += page.rows
             # Each page is as of a moment of its own; the changes since the first one follow.
-            revision = revision or response['Revision']
-            if not response.get('HasMore') or not page:
+            revision = revision or page.revision
+            if not response.get('HasMore') or not page.rows:
                 return StoredRows(tuple(rows), revision)
             # `From` is inclusive, so the next page starts at the last key plus a zero byte.
-            start = f'{page[-1].key}\0'
+            start = f'{response["rows"][-1]["Key"]}\0'
 
     def changes(self, table: str, revision: int, wait_ms: int) -> StoredRows:
         """Wait for changes of a table; raise HistoryLostError or STORE_UNAVAILABLE."""
@@ -72,9 +73,7 @@
             response = self._call('GET', path, timeout_ms=wait_ms + CALL_TIMEOUT_MS)
         else:
             response = self._read(path)
-        return StoredRows(
-            tuple(_decode_row(each) for each in response['rows']), response['Revision']
-        )
+        return _decode_rows(response)
 
     def interrupt(self) -> None:
         """Make a call that another green thread has in progress fail."""
@@ -91,7 +90,12 @@
         expected = [] if expected_revision is None else [{**row_key, 'Revision': expected_revision}]
         write = {**row_key, 'Value': base64.b64encode(value).decode()}
         body = {'ExpectedRev': expected, 'Writes': [write], 'Remove': []}
-        return int(self._call('POST', '/v1/rows-tx', body)['Revision'])
+        response = self._call('POST', '/v1/rows-tx', body)
+        try:
+            return _revision(response)
+        except (KeyError, TypeError) as exc:
+            message = f'store: malformed response: {type(exc).__name__}: {exc}'
+            raise ProxyError(ErrorKind.STORE_UNKNOWN, message) from exc
 
     def remove(self, table: str, key: str, expected_revision: int) -> None:
         """Remove a row at an expected revision; raise the same errors as `put`."""
@@ -150,7 +154,7 @@
             raise ProxyError(ErrorKind.STORE_UNAVAILABLE, f'store returned HTTP status {status}')
         try:
             decoded: dict[str, Any] = json.loads(content)
-        except ValueError as exc:
+        except (ValueError, RecursionError) as exc:
             self.close()
             raise ProxyError(
                 ErrorKind.STORE_UNAVAILABLE, f'store: invalid JSON in response: {exc}'
@@ -168,6 +172,36 @@
         return self._conn
 
 
+def _decode_rows(response: dict[str, Any]) -> StoredRows:
+    """Decode rows; raise STORE_UNAVAILABLE if what the store itself adds to them is malformed."""
+    try:
+        rows = response['rows']
+        if not isinstance(rows, list):
+            raise TypeError('rows is not a list')
+        return StoredRows(tuple(map(_decode_row, rows)), _revision(response))
+    except (KeyError, TypeError, AttributeError) as exc:
+        message = f'store: malformed response: {type(exc).__name__}: {exc}'
+        raise ProxyError(ErrorKind.STORE_UNAVAILABLE, message) from exc
+
+
 def _decode_row(row: dict[str, Any]) -> StoredRow:
-    value = None if row.get('Deleted') else base64.b64decode(row['Value'])
-    return StoredRow(row['Key'], value, row['Revision'])
+    # Keys and values are from any writer. JSON strings can have lone surrogates, which no other
+    # encoding has.
+    key = row['Key'].encode('utf-8', 'backslashreplace').decode()
+    value = None if row.get('Deleted') else _decode_value(row.get('Value'))
+    return StoredRow(key, value, _revision(row))
+
+
+def _decode_value(value: Any) -> bytes:
+    """Return the content of a row; malformed content becomes an empty one, which nothing adopts."""
+    try:
+        return base64.b64decode(value)
+    except (TypeError, ValueError):
+        return b''
+
+
+def _revision(response: dict[str, Any]) -> int:
+    revision = response['Revision']
+    if type(revision) is not int:
+        raise TypeError(f'invalid Revision {revision!r}')
+    return revision
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -6,7 +6,7 @@
 import pytest
 
 from godwitthread.address import Address
-from godwitthread.errors import ProxyError
+from godwitthread.errors import ErrorKind, ProxyError
 from godwitthread.gateway.ports import StoreUnreachableError
 from godwitthread.platform import store
 
@@ -74,3 +74,81 @@
     client.interrupt()
     with eventlet.Timeout(10), pytest.raises(ProxyError):
         call.wait()
+
+
+def scripted_client(monkeypatch, *pages):
+    """Build a client whose calls return the given responses."""
+    responses = list(pages)
+    client = store.StoreClient(Address('127.0.0.1', 1))
+    paths = []
+
+    def call(method, path, *_, **__):
+        paths.append(path)
+        return responses.pop(0)
+
+    monkeypatch.setattr(client, '_call', call)
+    return client, paths
+
+
+@pytest.mark.parametrize('value', [None, 5, 'x', '\ud800', [], {}, 'AAA'])
+def test_a_malformed_value_of_one_row_hides_no_other_row(monkeypatch, value):
+    """Guard against a table that can't be read because of one row of another writer."""
+    rows = [
+        {'Key': 'a', 'Value': value, 'Revision': 5},
+        {'Key': 'b', 'Value': 'e30=', 'Revision': 6},
+    ]
+    client, _ = scripted_client(monkeypatch, {'rows': rows, 'Revision': 7})
+    content = client.table('servers')
+    assert [(row.key, row.value, row.revision) for row in content.rows] == [
+        ('a', b'', 5),
+        ('b', b'{}', 6),
+    ]
+
+
+def test_a_row_without_a_value_hides_no_other_row(monkeypatch):
+    """Guard against a table that can't be read because of one row of another writer."""
+    rows = [{'Key': 'a', 'Revision': 5}, {'Key': 'b', 'Value': 'e30=', 'Revision': 6}]
+    client, _ = scripted_client(monkeypatch, {'rows': rows, 'Revision': 7})
+    assert [row.value for row in client.changes('servers', 4, 0).rows] == [b'', b'{}']
+
+
+def test_a_key_that_is_not_unicode_text_is_replaced(monkeypatch):
+    """Guard against a key that fails wherever it is encoded, and against endless pages."""
+    page = [{'Key': 'a\ud800', 'Value': 'e30=', 'Revision': 5}]
+    client, paths = scripted_client(
+        monkeypatch,
+        {'rows': page, 'HasMore': True, 'Revision': 7},
+        {'rows': [], 'HasMore': False, 'Revision': 7},
+    )
+    (row,) = client.table('servers').rows
+    assert row.key.encode() == b'a\\ud800'
+    assert 'From=a%ED%A0%80%00' in paths[1]
+
+
+@pytest.mark.parametrize(
+    'response',
+    [
+        [], None, 5, {}, {'rows': []}, {'rows': [], 'Revision': '7'}, {'rows': [], 'Revision': 7.5},
+        {'rows': [], 'Revision': True}, {'rows': {}, 'Revision': 7}, {'rows': [5], 'Revision': 7},
+        {'rows': [{'Key': 5, 'Value': '', 'Revision': 1}], 'Revision': 7},
+        {'rows': [{'Key': 'a', 'Value': '', 'Revision': 'x'}], 'Revision': 7},
+        {'rows': [{'Key': 'a', 'Value': '', 'Revision': float('inf')}], 'Revision': 7},
+    ],
+)  # fmt: skip
+def test_a_malformed_response_is_a_failed_call(monkeypatch, response):
+    """Guard against an unexpected error, which is neither logged as a failure nor retried."""
+    for call in ('table', 'changes'):
+        client, _ = scripted_client(monkeypatch, response)
+        arguments = ('servers',) if call == 'table' else ('servers', 4, 0)
+        with pytest.raises(ProxyError) as info:
+            getattr(client, call)(*arguments)
+        assert info.value.kind is ErrorKind.STORE_UNAVAILABLE
+
+
+@pytest.mark.parametrize('response', [[], {}, {'Revision': 'x'}, {'Revision': None}])
+def test_a_write_with_a_malformed_response_has_an_unknown_outcome(monkeypatch, response):
+    """Guard against a write that is taken for done or not done, and against an ended thread."""
+    client, _ = scripted_client(monkeypatch, response)
+    with pytest.raises(ProxyError) as info:
+        client.put('instances', 'a', b'{}')
+    assert info.value.kind is ErrorKind.STORE_UNKNOWN
