Reconnect a link after an unexpected error in one of its messages

What callers could see: waits for an owner that an instance never reached again, until one of both was restarted.

Cause: an error other than OSError or DecodeError while a message was processed, or a second answer to a call, ended the thread of the link. An answer that could not be decoded and an error of a kind that only a later build has raised errors that no caller of a link expects.

Change: an unexpected error ends the connection, which is opened again after 1 s. A second answer is ignored. A malformed answer or error is an unknown outcome, as if it had been lost.

--- a/godwitthread/gateway/links.py
+++ b/godwitthread/gateway/links.py
@@ -38,6 +38,9 @@
 #: Time limit of a connection attempt, and delay before the next one, in ms.
 CONNECT_TIMEOUT_MS = 800
 RECONNECT_MS = 100
+#: Delay before the next connection after an unexpected error, in ms. It bounds the lines of log if
+#: the peer repeats the message that caused the error.
+ERROR_DELAY_MS = 1_000
 #: Maximum frame size in bytes; a frame holds a line of up to 1 MiB and its metadata.
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 #: Bytes read from a socket at once.
@@ -246,8 +249,7 @@
                     text = f'link to {self.peer.name} ended'
                     raise ProxyError(ErrorKind.CONNECTION_LOST, text)
                 if frame.kind == FAILED:
-                    failed = _failures.decode(frame.body)
-                    raise ProxyError(ErrorKind(failed.kind), failed.message)
+                    raise _decode_failure(frame.body)
                 return frame.body
         finally:
             del self._waiting[call_id]
@@ -286,12 +288,13 @@
             stream = FrameStream(sock)
             stream.send_raw(_encoder.encode(self._own))
             self._send_heartbeat(stream)
-            self._read(stream)
+            ended = self._read(stream)
             stream.release()
             self._drop_stream()
-            eventlet.sleep(RECONNECT_MS / 1000)
+            eventlet.sleep((RECONNECT_MS if ended else ERROR_DELAY_MS) / 1000)
 
-    def _read(self, stream: FrameStream) -> None:
+    def _read(self, stream: FrameStream) -> bool:
+        """Process messages until the connection ends; return False after an unexpected error."""
         try:
             while (data := stream.read()) is not None:
                 frame = _frames.decode(data)
@@ -304,10 +307,17 @@
                     self._on_reports(self.peer.name, _reports.decode(frame.body))
                 elif frame.call_id == 0:
                     self._update_peer_status(_statuses.decode(frame.body))
-                elif waiter := self._waiting.get(-frame.call_id):
-                    waiter.send(frame)
+                else:
+                    waiter = self._waiting.get(-frame.call_id)
+                    if waiter is not None and not waiter.ready():
+                        waiter.send(frame)
         except (OSError, msgspec.DecodeError) as exc:
             logger.debug('link to %s failed: %s', self.peer.name, exc)
+        except Exception:
+            # Without this thread, the peer would never be reached again.
+            logger.exception('message of %s not processed', self.peer.name)
+            return False
+        return True
 
     def _update_peer_status(self, heartbeat_status: HeartbeatStatus) -> None:
         changed = heartbeat_status != self._peer_status
@@ -392,6 +402,24 @@
         on_end(sender)
 
 
+def decode_answer(decoder: msgspec.msgpack.Decoder[Any], body: msgspec.Raw) -> Any:
+    """Decode the answer to a call; raise CONNECTION_LOST if it is malformed."""
+    try:
+        return decoder.decode(body)
+    except msgspec.DecodeError as exc:
+        # The call may have had an effect, as if its answer had been lost.
+        raise ProxyError(ErrorKind.CONNECTION_LOST, f'malformed answer: {exc}') from exc
+
+
+def _decode_failure(body: msgspec.Raw) -> ProxyError:
+    try:
+        failed = _failures.decode(body)
+        return ProxyError(ErrorKind(failed.kind), failed.message)
+    except ValueError as exc:
+        # The kind may be one of a later build.
+        return ProxyError(ErrorKind.CONNECTION_LOST, f'malformed error: {exc}')
+
+
 def _answer(stream: FrameStream, sender: str, frame: Frame, handler: CallHandler) -> None:
     try:
         body = handler(sender, frame.kind, frame.body)
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -223,7 +223,12 @@
         if owner == self.peer.name:
             return self._run_here(self._sender(), req)
         link = self._links[owner]
-        return _results.decode(link.call('run', req, req.remaining_ms + CALL_SLACK_MS))
+        return self._ask_result(link, req)
+
+    def _ask_result(self, link: Link, req: RunRequest) -> Result:
+        body = link.call('run', req, req.remaining_ms + CALL_SLACK_MS)
+        result: Result = links.decode_answer(_results, body)
+        return result
 
     def _run_at_transaction_owner(self, req: RunRequest, holder: str) -> Result:
         try:
@@ -238,7 +243,7 @@
             if req.action is Action.ROLLBACK:
                 link.send_oneway('run', req)
                 return Result(ended=True)
-            return _results.decode(link.call('run', req, req.remaining_ms + CALL_SLACK_MS))
+            return self._ask_result(link, req)
         except ProxyError as exc:
             if req.action is Action.COMMIT and exc.kind not in (
                 ErrorKind.BACKEND_UNAVAILABLE,
@@ -296,11 +301,15 @@
             raise ProxyError(ErrorKind.BACKEND_UNAVAILABLE, 'no instance grants the rate')
         if granter == self.peer.name:
             return self.rate_limiter.grant(request)
-        return _grants.decode(self._links[granter].call('grant', request, timeout_ms))
+        body = self._links[granter].call('grant', request, timeout_ms)
+        grant: Grant = links.decode_answer(_grants, body)
+        return grant
 
     def _order(self, request: OrderRequest) -> OrderAnswer:
         def ask(name: str, order: OrderRequest) -> OrderAnswer:
-            return _order_answers.decode(self._links[name].call('order', order, ORDER_TIMEOUT_MS))
+            body = self._links[name].call('order', order, ORDER_TIMEOUT_MS)
+            answer: OrderAnswer = links.decode_answer(_order_answers, body)
+            return answer
 
         def is_up(name: str, incarnation: int) -> bool:
             peer, link = self.view.peers.get(name), self._links.get(name)
--- a/tests/test_gateway/test_links.py
+++ b/tests/test_gateway/test_links.py
@@ -193,3 +193,70 @@
     assert received[0][0] == 'b'
     assert received[0][1].reports == ()
     link.stop()
+
+
+def test_an_unexpected_error_does_not_end_the_link():
+    """Guard against a peer that is never reached again after one message."""
+    listener = Listener(lambda sender, kind, body: 1)
+    listener.report = lambda stream, echo_ms: TableReports(echo_ms, ())
+    failures = [OverflowError('scripted')]
+
+    def on_reports(peer, reports):
+        if failures:
+            raise failures.pop()
+
+    changes: list[bool] = []
+    link = connected(listener, changes, on_reports)
+    for _ in range(500):
+        eventlet.sleep(0.01)
+        if False in changes and link.up:
+            break
+    assert not failures
+    assert bytes(link.call('echo', 1, 500)) == b'\x01'
+    link.stop()
+
+
+def test_a_second_answer_to_a_call_is_ignored():
+    """Guard against a link that ends because a peer answers a call twice."""
+    listener = Listener(lambda sender, kind, body: 1)
+    changes: list[bool] = []
+    link = connected(listener, changes)
+    stream = link._stream
+    call = eventlet.spawn(link.call, 'echo', 1, 500)
+    eventlet.sleep(0)
+    (inbound,) = listener.inbound
+    for _ in range(2):
+        inbound.send(-max(link._waiting), 'echo', 2)
+    assert bytes(call.wait()) == b'\x02'
+    assert bytes(link.call('echo', 1, 500)) == b'\x01'
+    assert link._stream is stream
+    link.stop()
+
+
+def test_an_error_of_an_unknown_kind_is_an_unknown_outcome():
+    """Guard against an unexpected error where a later build of the peer has more error kinds."""
+    listener = Listener(lambda sender, kind, body: eventlet.sleep(5))
+    link = connected(listener, [])
+    call = eventlet.spawn(link.call, 'echo', 1, 500)
+    eventlet.sleep(0)
+    (inbound,) = listener.inbound
+    inbound.send(-max(link._waiting), links.FAILED, ('later_kind', 'scripted'))
+    with pytest.raises(ProxyError) as info:
+        call.wait()
+    assert info.value.kind is ErrorKind.CONNECTION_LOST
+    link.stop()
+
+
+@pytest.mark.parametrize('body', [5, (), ('moved',), {'kind': 1}])
+def test_a_malformed_error_of_a_peer_is_an_unknown_outcome(body):
+    """Guard against an unexpected error, which is not handled as a failure of the call."""
+    listener = Listener(lambda sender, kind, body: eventlet.sleep(5))
+    link = connected(listener, [])
+    call = eventlet.spawn(link.call, 'echo', 1, 500)
+    eventlet.sleep(0)
+    (inbound,) = listener.inbound
+    inbound.send(-max(link._waiting), links.FAILED, body)
+    with pytest.raises(ProxyError) as info:
+        call.wait()
+    assert info.value.kind is ErrorKind.CONNECTION_LOST
+    link.stop()
