Take a number of too many digits from a member for none

What callers could see: a statement that fails with an internal error, or that waits for its time limit, since its result could not be sent to the instance of the caller.

Cause: int() refuses more than 4,300 digits, which ended the reading of an answer with an error that no caller of the connection expects; numbers above 64 bits can't be encoded in the messages between instances.

Change: positions and terms have at most 18 digits.

--- a/godwitthread/platform/line_protocol.py
+++ b/godwitthread/platform/line_protocol.py
@@ -13,6 +13,8 @@
 MAX_LINE_BYTES = 1024 * 1024
 #: Maximum number of bytes requested by one socket read.
 READ_BYTES = 16 * 1024
+#: Maximum number of digits; a number then fits in the integers of the messages between instances.
+MAX_DIGITS = 18
 #: Id of statements that the gateway itself issues.
 GATEWAY_STATEMENT_ID = '-'
 
@@ -69,10 +71,14 @@
 
 def parse_position(text: str) -> Position | None:
     """Parse a position from its wire form; return None if the text is not a position."""
-    term, separator, offset = text.partition('.')
-    if not separator or not term.isdecimal() or not offset.isdecimal():
-        return None
-    return Position(int(term), int(offset))
+    term_text, _, offset_text = text.partition('.')
+    term, offset = parse_number(term_text), parse_number(offset_text)
+    return None if term is None or offset is None else Position(term, offset)
+
+
+def parse_number(text: str) -> int | None:
+    """Parse a number of at most MAX_DIGITS digits; return None if the text is not one."""
+    return int(text) if text.isdecimal() and len(text) <= MAX_DIGITS else None
 
 
 def parse_query(rest: str) -> Statement | None:
--- a/godwitthread/platform/member_connection.py
+++ b/godwitthread/platform/member_connection.py
@@ -12,6 +12,7 @@
     LineTooLongError,
     encode,
     format_position,
+    parse_number,
     parse_position,
 )
 from godwitthread.sockets import connect, has_no_input, shutdown_socket
@@ -155,11 +156,10 @@
             return None
         # Fields: role, term, received position, paused term, lag in ms and further ones.
         fields = reply.rows[0].split(' ')
-        if len(fields) < 4 or not fields[1].isdecimal():
+        if len(fields) < 4 or (term := parse_number(fields[1])) is None:
             return None
-        paused_term = int(fields[3]) if fields[3].isdecimal() else 0
-        received = parse_position(fields[2])
-        return MemberStatus(fields[0] == 'primary', int(fields[1]), received, paused_term)
+        received, paused_term = parse_position(fields[2]), parse_number(fields[3])
+        return MemberStatus(fields[0] == 'primary', term, received, paused_term or 0)
 
     def _run_internal(self, text: str, timeout_ms: int) -> bool:
         return self.run(GATEWAY_STATEMENT_ID, text, timeout_ms).refusal is None
