Check the numbers and addresses of the settings file

What operators could see: a reload by SIGHUP that neither takes effect nor writes settings_changed, and a traceback in place of a message at the start.

Cause: OverflowError and RecursionError were not expected; infinities, ports that no address has and a name in place of the IP number were accepted and failed later.

Change: the file is read as strict JSON, and numbers and addresses are checked against bounds.

Result: test_no_malformed_value_is_accepted_or_raises_another_error fails before the change and passes with it.

--- a/godwitthread/platform/settings.py
+++ b/godwitthread/platform/settings.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-import json
+from pathlib import Path
 from typing import TYPE_CHECKING, Any, NamedTuple
 
+import msgspec
+
 from godwitthread.address import Address, parse_address
 from godwitthread.errors import ErrorKind, ProxyError
 
@@ -13,6 +15,10 @@
 
 #: Environment variable with the path of the settings file.
 CONFIG_PATH_VARIABLE = 'GODWITTHREAD_CONFIG'
+#: Upper bounds of the cores and the link of a machine, and of its grace period.
+MAX_CORES = 10_000
+MAX_LINK_MBPS = 10**7
+MAX_GRACE_S = 86_400
 
 
 class NodeSettings(NamedTuple):
@@ -43,9 +49,8 @@
     """Load and validate the settings file; raise an ExceptionGroup with every error."""
     path = environ.get(CONFIG_PATH_VARIABLE, '')
     try:
-        with open(path, encoding='utf-8') as file:
-            data = json.load(file)
-    except (OSError, ValueError) as exc:
+        data = msgspec.json.decode(Path(path).read_bytes())
+    except (OSError, ValueError, RecursionError) as exc:
         error = ProxyError(ErrorKind.SETTING_INVALID, f'{CONFIG_PATH_VARIABLE} {path!r}: {exc}')
         raise ExceptionGroup('invalid settings', [error]) from exc
     return parse(data)
@@ -61,24 +66,24 @@
             for part in path.split('.'):
                 value = value[int(part) if part.isdecimal() else part]
             return convert(value)
-        except (KeyError, IndexError, TypeError, ValueError) as exc:
+        except (LookupError, TypeError, ValueError, AttributeError, OverflowError) as exc:
             message = f'{path}: {type(exc).__name__}: {exc}'
             errors.append(ProxyError(ErrorKind.SETTING_INVALID, message))
             return None
 
-    host = read_value('Ip', str)
+    ip = read_value('Ip', _ip)
     settings = NodeSettings(
         name=read_value('Node', _non_empty_string),
         failure_domain=read_value('Zone', _non_empty_string),
         caller_address=read_value('Listen.Front', parse_address),
         ready_address=read_value('Listen.Ready', parse_address),
-        peer_address=Address(host, read_value('InternalPortRange.0', int)),
-        metrics_address=Address(host, read_value('InternalPortRange.1', int)),
+        peer_address=Address(ip, read_value('InternalPortRange.0', _port)),
+        metrics_address=Address(ip, read_value('InternalPortRange.1', _port)),
         store_address=read_value('platform.Addr', parse_address),
         promotion_address=read_value('Cloud.Addr', parse_address),
-        cores=read_value('Limits', lambda value: float(value['CpuShare']) * float(value['Cores'])),
-        link_mbps=read_value('Limits.LinkMbps', float),
-        grace_ms=read_value('Bounds.GraceS', lambda value: int(float(value) * 1000)),
+        cores=read_value('Limits', _cores),
+        link_mbps=read_value('Limits.LinkMbps', lambda value: _number(value, MAX_LINK_MBPS)),
+        grace_ms=read_value('Bounds.GraceS', lambda value: int(_number(value, MAX_GRACE_S) * 1000)),
     )
     if errors:
         raise ExceptionGroup('invalid settings', errors)
@@ -89,3 +94,22 @@
     if not isinstance(value, str) or not value:
         raise ValueError(f'{value!r} is not a non-empty string')
     return value
+
+
+def _ip(value: Any) -> str:
+    return parse_address(f'{value}:1').host
+
+
+def _port(value: Any) -> int:
+    return parse_address(f'0.0.0.0:{value}').port
+
+
+def _cores(limits: Any) -> float:
+    return _number(float(limits['CpuShare']) * float(limits['Cores']), MAX_CORES)
+
+
+def _number(value: Any, maximum: float) -> float:
+    number = float(value)
+    if not 0 < number <= maximum:
+        raise ValueError(f'{number} is not above 0 and at most {maximum}')
+    return number
--- a/tests/test_platform/test_settings.py
+++ b/tests/test_platform/test_settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import json
 import subprocess
 import sys
@@ -9,7 +10,9 @@
 import pytest
 
 from godwitthread.address import Address
+from godwitthread.errors import ErrorKind
 from godwitthread.platform import settings
+from tests import malformed
 
 NODE = {
     'Node': 'front-1', 'Zone': 'z1', 'Ip': '10.1.0.26',
@@ -55,6 +58,25 @@
         settings.load({})
 
 
+def test_no_malformed_value_is_accepted_or_raises_another_error(tmp_path):
+    """Guard against a reload that fails without an event, and against values that fail later."""
+    path = tmp_path / 'node.json'
+    for document in malformed.documents(NODE):
+        path.write_bytes(document)
+        try:
+            loaded = settings.load({'GODWITTHREAD_CONFIG': str(path)})
+        except ExceptionGroup as group:
+            assert all(exc.kind is ErrorKind.SETTING_INVALID for exc in group.exceptions)
+            continue
+        for address in (loaded.peer_address, loaded.metrics_address, loaded.caller_address):
+            assert 0 < address.port < 65_536
+            ipaddress.ip_address(address.host)
+        assert 0 < loaded.cores <= settings.MAX_CORES
+        assert 0 < loaded.link_mbps <= settings.MAX_LINK_MBPS
+        assert 0 < loaded.grace_ms <= settings.MAX_GRACE_S * 1_000
+        assert loaded.name and loaded.failure_domain
+
+
 def test_a_signal_to_reload_does_not_end_a_process_that_starts():
     """Guard against a process that ends because its settings change while it starts."""
     code = (
