HTTP interface: bound what one malformed answer stops

A malformed answer of the platform is an unavailable store, and a malformed entry of the instance list is left out.

--- a/godwitthread/manifest/table_client.py
+++ b/godwitthread/manifest/table_client.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 import json
+import logging
 import secrets
 from typing import Any, NamedTuple
 
+import msgspec
 import urllib3
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
+from godwitthread.address import parse_address
 from godwitthread.errors import ErrorKind, ProxyError
 
+logger = logging.getLogger(__name__)
+
 DEFAULT_TIMEOUT_MS = 1_000
 #: Maximum attempts of a write without a response; its precondition lets at most one
 #: of them take effect.
@@ -71,7 +76,10 @@
             return NotModified(current_etag)
         if status == 404:
             return None
-        return Row(name, json.loads(body), current_etag)
+        value = _decode(body)
+        if not isinstance(value, dict):
+            raise ProxyError(ErrorKind.STORE_UNAVAILABLE, f'row {name} is not an object')
+        return Row(name, value, current_etag)
 
     def put_row(self, name: str, value: dict[str, Any], expected_etag: str | None) -> Row:
         """Replace the row if it has the expected etag; with None, create it.
@@ -105,7 +113,10 @@
     def instances(self) -> list[ListedInstance]:
         """Read the eventually consistent instance list; raise STORE_UNAVAILABLE."""
         _, body, _ = self._read('/instances', {})
-        return [ListedInstance(**entry) for entry in json.loads(body)]
+        entries = _decode(body)
+        if not isinstance(entries, list):
+            raise ProxyError(ErrorKind.STORE_UNAVAILABLE, 'the instance list is not an array')
+        return [each for each in map(_listed_instance, entries) if each is not None]
 
     def _read(self, path: str, headers: dict[str, str]) -> tuple[int, bytes, str]:
         try:
@@ -207,3 +218,22 @@
 def _unexpected(status: int, body: bytes) -> ProxyError:
     text = body[:200].decode('utf-8', 'replace')
     return ProxyError(ErrorKind.STORE_UNAVAILABLE, f'platform answered {status}: {text}')
+
+
+def _decode(body: bytes) -> Any:
+    try:
+        return msgspec.json.decode(body)
+    except (ValueError, RecursionError) as exc:
+        raise ProxyError(ErrorKind.STORE_UNAVAILABLE, f'malformed answer: {exc}') from exc
+
+
+def _listed_instance(entry: Any) -> ListedInstance | None:
+    """Return an entry of the instance list, None if it is malformed."""
+    try:
+        host, port = parse_address(f'{entry["host"]}:{entry["port"]}')
+        return ListedInstance(
+            str(entry['name']), host, port, str(entry['failure_domain']), str(entry['state'])
+        )
+    except (KeyError, TypeError, ValueError) as exc:
+        logger.warning('malformed entry in the instance list: %s', exc)
+        return None
--- a/tests/test_manifest/test_table_client.py
+++ b/tests/test_manifest/test_table_client.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+
 import pytest
 
 from godwitthread.errors import ErrorKind, Outcome, ProxyError
@@ -180,3 +182,22 @@
     now[0] = 2.0
     assert client.instances()[0].state == 'leaving'
     platform.stop()
+
+
+@pytest.mark.parametrize('body', [b'', b'[', b'5', b'\xff', b'[' * 100_000])
+def test_a_malformed_answer_is_a_failed_read(client, monkeypatch, body):
+    """Guards against an unexpected error, which is not handled as an outage of the store."""
+    monkeypatch.setattr(client, '_request', lambda *_: (200, body, '"1"'))
+    assert kind_of(lambda: client.get_row(ROW)) is ErrorKind.STORE_UNAVAILABLE
+    assert kind_of(client.instances) is ErrorKind.STORE_UNAVAILABLE
+
+
+def test_a_malformed_entry_of_the_instance_list_hides_no_other(client, monkeypatch):
+    """Guards against an instance that can't start because of one entry of the list."""
+    entry = {
+        'name': 'entry-1', 'host': '127.0.0.1', 'port': 9001, 'failure_domain': 'stord',
+        'state': 'ready', 'added_later': 1,
+    }  # fmt: skip
+    listed = [5, {}, {**entry, 'port': 'x'}, {**entry, 'port': 0}, {**entry, 'host': 'x'}, entry]
+    monkeypatch.setattr(client, '_request', lambda *_: (200, json.dumps(listed).encode(), ''))
+    assert [each.name for each in client.instances()] == ['entry-1']
