Soak gateways whose store has malformed rows

Another writer writes malformed entries of members, instances, the promotion duty and the configuration, over valid rows too, while members drain, configurations change, and instances are suspended and restarted. The checks: a draining member executes nothing 7 s after its report, a version is in force everywhere, callers see no wrong answer, and no instance takes a row for malformed once all are valid.

--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,7 @@
 soak: setup
 	$(BIN)/python -m tests.soak --seconds $(SECONDS) --seed $(SEED)
 
-# MODE=--planned, MODE=--splits or MODE=--silent-store plays only planned work, splits or a silent store.
+# MODE=--planned, --splits, --silent-store or --malformed-rows plays only work or faults of that kind.
 soak-processes: setup
 	$(BIN)/python -m tests.test_platform.world --seconds $(SECONDS) --seed $(SEED) --seeds $(SEEDS) $(MODE)
 
--- a/tests/test_platform/runs.py
+++ b/tests/test_platform/runs.py
@@ -11,6 +11,7 @@
 
 from godwitthread.loop import eventlet
 from tests.test_platform.faults import inject_faults, inject_splits
+from tests.test_platform.malformed_rows import MalformedRows
 from tests.test_platform.planned_callers import Caller, Ledger, check_answers
 from tests.test_platform.planned_work import PlannedWork
 from tests.test_platform.silent_store import SilentStore
@@ -53,6 +54,11 @@
         action='store_true',
         help='calls to the store without an answer, and changes of the configuration',
     )
+    modes.add_argument(
+        '--malformed-rows',
+        action='store_true',
+        help='malformed rows in the store, members that drain, and changes of the configuration',
+    )
     modes.add_argument('--planned', action='store_true', help='planned work only, no faults')
     args = parser.parse_args()
     # Exit through `finally`, so that the started processes are killed as well.
@@ -63,6 +69,7 @@
         play_splits: args.splits,
         play_planned_work: args.planned,
         play_silent_store: args.silent_store,
+        play_malformed_rows: args.malformed_rows,
     }
     play = next((each for each, chosen in plays.items() if chosen), play_faults)
     slots = PLANNED_SLOTS if args.planned else 2
@@ -118,12 +125,29 @@
     """Leave calls to the store without an answer while configurations change."""
     _start_callers(deployment, sizes)
     work = SilentStore(deployment, seed)
-    names = work.run(sizes.seconds)
+    names = work.run(sizes.seconds, work.mutings())
     _check_recovery(deployment)
     _stop_callers(deployment)
     return f'{work.checks} checks of {deployment.version} versions; faults: {names}'
 
 
+def play_malformed_rows(deployment: Deployment, seed: int, sizes: Sizes) -> str:
+    """Write malformed rows while members drain and configurations change."""
+    _start_callers(deployment, sizes)
+    checks = SilentStore(deployment, seed)
+    rows = MalformedRows(deployment, seed, checks)
+    rows.start()
+    names = checks.run(sizes.seconds, ())
+    rows.stop()
+    _check_recovery(deployment)
+    rows.check_metrics()
+    _stop_callers(deployment)
+    return (
+        f'{checks.checks} checks of {deployment.version} versions, {rows.drains} drains; '
+        f'faults: {names}'
+    )
+
+
 def play_planned_work(deployment: Deployment, seed: int, sizes: Sizes) -> str:
     """Do planned work while callers keep using their connections."""
     ledger, work = Ledger(), PlannedWork(deployment, seed)
--- a/tests/test_platform/silent_store.py
+++ b/tests/test_platform/silent_store.py
@@ -14,7 +14,7 @@
 from tests.test_platform.world import CONFIGURATION_DEADLINE_MS, now_ms
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable, Sequence
 
     from tests.test_platform.world import Deployment
 
@@ -38,13 +38,27 @@
         self._silent_ms = 0
         #: Time until which an instance was suspended or restarted, in ms.
         self._disturbed_ms = dict.fromkeys(deployment.processes, now_ms())
+        self._suspended = 0
         self._running = True
 
-    def run(self, seconds: int) -> str:
-        """Play the faults, which may overlap; return their names when the last check has ended."""
+    def mutings(self) -> tuple[Callable[[], None], ...]:
+        """Return the functions that leave calls to the store without an answer."""
+        return self._mute_all, self._mute_some
+
+    def undisturbed_ms(self) -> int:
+        """Return for how long no instance has been suspended or restarted, in ms."""
+        if self._suspended:
+            return 0
+        return now_ms() - max(self._disturbed_ms.values())
+
+    def run(self, seconds: int, faults: Sequence[Callable[[], None]]) -> str:
+        """Play faults, suspensions and restarts, which may overlap.
+
+        Return their names when the last check has ended.
+        """
         threads = [eventlet.spawn(self._change_configuration)]
         threads += [eventlet.spawn(self._check, number) for number in self._disturbed_ms]
-        faults = (self._mute_all, self._mute_some, self._pause, self._restart)
+        faults = (*faults, self._pause, self._restart)
         names, pool = [], eventlet.GreenPool()
         end_s = time.monotonic() + seconds
         while time.monotonic() < end_s:
@@ -87,9 +101,11 @@
     def _pause(self) -> None:
         number = self._random.choice(list(self._disturbed_ms))
         process = self._deployment.processes[number]
+        self._suspended += 1
         process.send_signal(signal.SIGSTOP)
         eventlet.sleep(self._random.uniform(0.3, 4))
         process.send_signal(signal.SIGCONT)
+        self._suspended -= 1
         self._disturbed_ms[number] = now_ms()
 
     def _restart(self) -> None:
@@ -132,15 +148,20 @@
         )
 
 
-def _version_in_force(host: str) -> int | None:
-    """Return the version that the metrics of an instance show, None without an answer."""
+def read_metrics(host: str) -> bytes:
+    """Return the metrics of an instance, nothing without an answer."""
     conn = http.client.HTTPConnection(host, METRICS_PORT, timeout=CHECK_TIMEOUT_S)
     try:
         conn.request('GET', '/metrics')
-        found = VERSION.search(conn.getresponse().read())
+        return conn.getresponse().read()
     except (OSError, http.client.HTTPException):
-        return None
+        return b''
     finally:
         conn.close()
+
+
+def _version_in_force(host: str) -> int | None:
+    """Return the version that the metrics of an instance show, None without an answer."""
+    found = VERSION.search(read_metrics(host))
     # An instance that has just started has no configuration, and serves nobody.
     return (int(float(found[1])) or None) if found else None
--- a/tests/test_platform/world.py
+++ b/tests/test_platform/world.py
@@ -174,21 +174,21 @@
 
     def announce(self, member: LineMember, state: str = 'ready') -> None:
         """Write the entry of a member to the store."""
-        self.store.put(
-            'servers',
-            member.name,
-            {
-                'Service': member.group.name,
-                'Addr': str(self.proxies[member.name].address),
-                'Zone': member.failure_domain,
-                'Slots': member.group.slots,
-                'State': state,
-                'ColdLeftMs': 0,
-                'DbRole': 'primary' if member.primary else 'replica',
-                'Seq': 1,
-                'born': member.born,
-            },
-        )
+        self.store.put('servers', member.name, self.member_entry(member, state))
+
+    def member_entry(self, member: LineMember, state: str) -> dict[str, Any]:
+        """Return the entry of a member."""
+        return {
+            'Service': member.group.name,
+            'Addr': str(self.proxies[member.name].address),
+            'Zone': member.failure_domain,
+            'Slots': member.group.slots,
+            'State': state,
+            'ColdLeftMs': 0,
+            'DbRole': 'primary' if member.primary else 'replica',
+            'Seq': 1,
+            'born': member.born,
+        }
 
     def _group(self, number: int, seed: int, slots: int) -> LineGroup:
         self.proxies: dict[str, Proxy] = getattr(self, 'proxies', {})
