Report a malformed row beside a flood of other failures

What operators could see: no row_undecodable for a malformed row, if an instance had used up the rate limit of the log for failures when it read the row; since a row is reported once, the event was lost.

Change: the first 20 rows of an answer are reported without that limit, and more of them within it.

--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -24,7 +24,7 @@
 from godwitthread.gateway.authority_manager import AuthorityManager, ClaimRequest
 from godwitthread.gateway.failover import Failover
 from godwitthread.gateway.group_runner import TICK_MS, GroupRunner
-from godwitthread.gateway.isolation import run_all
+from godwitthread.gateway.isolation import run_all, traceback_logger
 from godwitthread.gateway.links import HeartbeatStatus, Hello, Link
 from godwitthread.gateway.ownership_manager import ManagedGroup, OwnershipManager
 from godwitthread.gateway.peer_eviction import PeerEviction
@@ -406,12 +406,13 @@
     # Background work
 
     def _tick_forever(self) -> None:
+        log_error = traceback_logger(links.logger, self.clock)
         while True:
             eventlet.sleep(TICK_MS / 1000)
             try:
                 self._tick()
             except Exception:
-                links.logger.exception('housekeeping failed')
+                log_error('housekeeping failed')
 
     def _tick(self) -> None:
         manager = self.ownership_manager
--- a/godwitthread/gateway/store_view.py
+++ b/godwitthread/gateway/store_view.py
@@ -35,6 +35,8 @@
 MISSING_MEMBER_MS = 2_500
 #: Maximum length of the reason in an event; a decoder may quote the content, up to 1 MB.
 MAX_REASON_LENGTH = 200
+#: Number of rows of one answer that are reported without the rate limit for failures.
+MAX_REPORTS = 20
 #: Interval at which content is applied again after a failure, in ms. It needs no call to the store.
 APPLY_RETRY_MS = 1_000
 #: Upper bound of the capacity of an instance, in cores. The largest capacity decides which
@@ -274,16 +276,20 @@
 
     def _report_faults(self, table: str, faults: dict[str, RowFault]) -> None:
         changes = self._faults[table].update(self._clock.now_ms(), faults)
-        for key, fault in changes.found.items():
-            self._log.failure(
+        for number, (key, fault) in enumerate(changes.found.items()):
+            # A row is reported only once, so that its event must not be suppressed because of
+            # failures of another kind.
+            write = self._log.event if number < MAX_REPORTS else self._log.failure
+            write(
                 'row_undecodable',
                 table=table,
                 row=key,
                 revision=fault.revision,
                 reason=fault.reason,
             )
-        for key, age_ms in changes.ended_ms.items():
-            self._log.event('row_recovered', table=table, row=key, malformed_ms=age_ms)
+        for number, (key, age_ms) in enumerate(changes.ended_ms.items()):
+            write = self._log.event if number < MAX_REPORTS else self._log.failure
+            write('row_recovered', table=table, row=key, malformed_ms=age_ms)
 
 
 def _decode_row(decode: Callable[..., Any], *args: Any) -> Any:
--- a/tests/test_gateway/test_store_view.py
+++ b/tests/test_gateway/test_store_view.py
@@ -12,7 +12,7 @@
 from godwitthread.core.catalog import Peer
 from godwitthread.events import EventLog, HybridLogicalClock
 from godwitthread.gateway import store_view
-from godwitthread.gateway.logs import Log
+from godwitthread.gateway.logs import FAILURE_BURST, Log
 from godwitthread.gateway.ports import Schema, StoredRow, StoredRows, Undecodable
 from godwitthread.gateway.store_view import PEER_TABLE, StoreView, encode_peer
 from tests import malformed
@@ -216,6 +216,29 @@
     assert (view.malformed_rows('servers'), view.not_in_force_ms('servers')) == (0, 0)
 
 
+def test_a_malformed_row_is_reported_beside_many_other_failures():
+    """Guard against a malformed row whose only event is suppressed by the rate limit."""
+    events, clock = event_log(), Clock(Time())
+    log = Log(events, clock)
+    for _ in range(FAILURE_BURST + 1):
+        log.failure('statement_failed')
+    view = StoreView(SCHEMA, clock, log, lambda table: None)
+    view.replace('servers', rows(('bad', b''), revision=5))
+    assert events_named(events, 'row_undecodable')
+    view.apply_changes('servers', rows(('bad', None), revision=6))
+    assert events_named(events, 'row_recovered')
+
+
+def test_the_events_of_many_malformed_rows_are_bounded():
+    """Guard against a writer of thousands of malformed rows that floods the log."""
+    events, clock = event_log(), Clock(Time())
+    view = StoreView(SCHEMA, clock, Log(events, clock), lambda table: None)
+    view.replace('servers', rows(*((f'{n}', b'') for n in range(5_000)), revision=5))
+    reports = len(events_named(events, 'row_undecodable'))
+    assert reports <= store_view.MAX_REPORTS + FAILURE_BURST
+    assert view.malformed_rows('servers') == 5_000
+
+
 def test_the_reason_of_a_malformed_row_has_a_bounded_length():
     """Guard against lines of log of the size of a row."""
     events = event_log()
