Quote no value of a malformed configuration in the log

What operators could see: a key of an organisation in row_undecodable, if a configuration has it in the place of another value. Keys are never logged.

Cause: the messages of int(), float() and of a failed look-up quote the value.

Change: the decoders name the field and its bounds.

Result: test_the_reason_of_a_malformed_configuration_quotes_no_value fails on and passes with the change.

--- a/godwitthread/platform/row_decoding.py
+++ b/godwitthread/platform/row_decoding.py
@@ -53,87 +53,105 @@
     for tenant in data.get('Tenants', ()):
         # RatePerS is in operations per second; a transaction counts as one operation.
         organisation = Organisation(
-            _text(tenant['Name']),
-            float(_number(tenant['RatePerS'])),
-            float(_number(tenant['Burst'])),
+            _name(tenant, 'Name'), _number(tenant, 'RatePerS'), _number(tenant, 'Burst')
         )
-        keys.update({_string(key): organisation for key in tenant['ApiKeys']})
+        if not all(isinstance(key, str) for key in tenant['ApiKeys']):
+            raise TypeError('ApiKeys has a value that is not a text')
+        keys.update(dict.fromkeys(tenant['ApiKeys'], organisation))
     routes = {route['Host']: _route(route) for route in data['Routes']}
     groups = {
         service['Name']: Group(
-            _text(service['Name']),
-            int(_number(service['MaxConns'])),
-            float(_number(service.get('ColdPerS') or 0)),
+            _name(service, 'Name'),
+            int(_number(service, 'MaxConns')),
+            _number(service, 'ColdPerS', default=0),
             # SyncReplicas is the number of replicas that must confirm a commit.
-            synchronous=_number(service.get('SyncReplicas') or 0) > 0,
+            synchronous=_number(service, 'SyncReplicas', default=0) > 0,
         )
         for service in data['Services']
     }
     return Configuration(
-        int(_number(data['Version'], MAX_INTEGER)),
+        int(_number(data, 'Version', MAX_INTEGER)),
         routes,
         keys,
         groups,
-        int(_number(data['Limits']['TxIdleMs'])),
+        int(_number(data['Limits'], 'TxIdleMs')),
     )
 
 
 def _route(route: dict[str, Any]) -> Route:
     return Route(
         # Despite its name, Host holds the database name, not a host name.
-        database=_text(route['Host']),
-        group=_text(route['Service']),
+        database=_name(route, 'Host'),
+        group=_name(route, 'Service'),
         # Kind specifies the read consistency.
-        consistency=_CONSISTENCY[route['Kind']],
-        max_age_ms=int(_number(route.get('MaxStalenessMs') or 0)),
-        timeout_ms=int(_number(route['TimeoutMs'])),
-        objective_ms=int(_number(route['LatencyGoalMs'])),
-        priority=int(_number(route['Priority'])),
+        consistency=_consistency(route['Kind']),
+        max_age_ms=int(_number(route, 'MaxStalenessMs', default=0)),
+        timeout_ms=int(_number(route, 'TimeoutMs')),
+        objective_ms=int(_number(route, 'LatencyGoalMs')),
+        priority=int(_number(route, 'Priority')),
         open=bool(route.get('Public')),
     )
 
 
+def _consistency(kind: Any) -> Consistency:
+    if not isinstance(kind, str) or kind not in _CONSISTENCY:
+        raise ValueError('Kind is unknown')
+    return _CONSISTENCY[kind]
+
+
 def _member(member_id: str, data: dict[str, Any]) -> Member:
-    state, role = data['State'], data['DbRole']
+    state, role, slots, born = data['State'], data['DbRole'], data['Slots'], data.get('born', 0)
     if state not in ('ready', 'draining') or role not in ('primary', 'replica'):
         raise ValueError(f'invalid State {state!r} or DbRole {role!r}')
-    slots, born = data['Slots'], data.get('born', 0)
     if type(slots) is not int or type(born) is not int:
-        raise TypeError(f'invalid Slots {slots!r} or born {born!r}')
+        raise TypeError('Slots or born is not an integer')
+    if not isinstance(data['Zone'], str):
+        raise TypeError('Zone is not a text')
     # Connections to the member name its id in latin-1.
-    _text(member_id).encode('latin-1')
+    _name({'id': member_id}, 'id').encode('latin-1')
     return Member(
         id=member_id,
-        group=_text(data['Service']),
+        group=_name(data, 'Service'),
         address=parse_address(data['Addr']),
-        failure_domain=_string(data['Zone']),
-        slots=int(_number(slots, MAX_SLOTS, minimum=1)),
+        failure_domain=data['Zone'],
+        slots=int(_number(data, 'Slots', MAX_SLOTS, minimum=1)),
         draining=state == 'draining',
         primary=role == 'primary',
-        cold_ms=int(_number(data.get('ColdLeftMs', 0), MAX_COLD_MS)),
-        born=int(_number(born, MAX_INTEGER)),
+        cold_ms=int(_number(data, 'ColdLeftMs', MAX_COLD_MS, default=0)),
+        born=int(_number(data, 'born', MAX_INTEGER, default=0)),
     )
 
 
-def _number(value: Any, maximum: float = MAX_NUMBER, minimum: float = 0) -> float:
-    """Return a number within bounds; raise TypeError or ValueError."""
-    if isinstance(value, bool) or not minimum <= value <= maximum:
-        raise ValueError(f'{value!r} is not a number from {minimum} to {maximum}')
+# The messages of these errors end up in the log, and a malformed configuration may have a key in
+# any place, so that they quote no value.
+
+
+def _number(
+    data: dict[str, Any],
+    field: str,
+    maximum: float = MAX_NUMBER,
+    minimum: float = 0,
+    default: float | None = None,
+) -> float:
+    """Return a number within bounds; raise KeyError or ValueError."""
+    value = data[field] if default is None else data.get(field)
+    if value is None and default is not None:
+        return default
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise ValueError(f'{field} is not a number')
+    if not minimum <= value <= maximum:
+        raise ValueError(f'{field} is not between {minimum} and {maximum}')
     number: float = value
     return number
 
 
-def _text(value: Any) -> str:
-    """Return a text that can be a field of a line; raise TypeError or ValueError."""
-    if not _string(value).isprintable() or not value or ' ' in value:
-        raise ValueError(f'{value!r} is empty, or has blanks or control characters')
-    return str(value)
-
-
-def _string(value: Any) -> str:
-    """Return a text; raise TypeError."""
-    if not isinstance(value, str):
-        raise TypeError(f'{value!r} is not a text')
+def _name(data: dict[str, Any], field: str) -> str:
+    """Return a text that can be a field of a line; raise KeyError or ValueError."""
+    value = data[field]
+    if not isinstance(value, str) or not value:
+        raise ValueError(f'{field} is not a text, or empty')
+    if not value.isprintable() or ' ' in value:
+        raise ValueError(f'{field} has blanks or control characters')
     return value
 
 
--- a/tests/malformed.py
+++ b/tests/malformed.py
@@ -24,8 +24,13 @@
 
 def documents(valid: Any) -> Iterator[bytes]:
     """Yield the JSON of a valid document with one value replaced, for each place and value."""
+    return documents_with(valid, VALUES)
+
+
+def documents_with(valid: Any, values: tuple[str, ...]) -> Iterator[bytes]:
+    """Yield the JSON of a valid document with one value replaced by each of the given texts."""
     for marked, _ in _with_mark(valid):
-        yield from _replace_mark(marked, VALUES)
+        yield from _replace_mark(marked, values)
 
 
 def documents_with_numbers(valid: Any) -> Iterator[bytes]:
--- a/tests/test_platform/test_row_decoding.py
+++ b/tests/test_platform/test_row_decoding.py
@@ -124,3 +124,11 @@
         for group in cfg.groups.values():
             numbers += [group.connection_limit, group.cold_rate]
         assert all(0 <= number <= row_decoding.MAX_INTEGER for number in numbers)
+
+
+def test_the_reason_of_a_malformed_configuration_quotes_no_value():
+    """Guard against keys in the log: a malformed configuration may have them in any place."""
+    for value in ('"the-key"', '["the-key"]', '{"the-key": 1}', '"the-key'):
+        for document in malformed.documents_with(CONFIGURATION, (value,)):
+            cfg = row_decoding.decode_configuration(document)
+            assert not isinstance(cfg, Undecodable) or 'the-key' not in cfg.reason
