Leave the promotion duty to a running holder whose row is malformed

What callers could see: none known. Two instances took themselves for the holder until one of them heard of the other's token at its next order.

Cause: a malformed row counted as a vacant duty for the instance that comes first as its holder, also while heartbeats reported a holder.

Change: without a name in the store, the duty is vacant only if no reachable instance reports that it holds it. A malformed row is reported once.

Result: test_a_malformed_row_does_not_take_the_duty_from_its_holder fails before the change and passes with it.

--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -315,14 +315,14 @@
             peer, link = self.view.peers.get(name), self._links.get(name)
             return bool(peer and peer.incarnation == incarnation and link and link.up)
 
-        def known_holder() -> str | None:
-            return ownership.duty_holder({name: each.reach() for name, each in self._links.items()})
-
         self.duty.yield_to(self._newest_duty_token())
         return promotion_duty.order_through_holder(
-            self.duty, self.peer.name, request, ask, known_holder, is_up
+            self.duty, self.peer.name, request, ask, self._known_holder, is_up
         )
 
+    def _known_holder(self) -> str | None:
+        return ownership.duty_holder({name: link.reach() for name, link in self._links.items()})
+
     def _newest_duty_token(self) -> int:
         return max((each.duty_token for each in self._reach().values() if each.up), default=0)
 
@@ -457,7 +457,9 @@
         if self._ready_to_own and now_ms - self._minority_since_ms >= MINORITY_GRACE_MS:
             self.sessions.enter(Phase.DRAINING)
 
-    def _may_be_running(self, holder: Holder) -> bool:
+    def _may_be_running(self, holder: Holder | None) -> bool:
+        if holder is None:
+            return self._known_holder() is not None
         peer, link = self.view.peers.get(holder.name), self._links.get(holder.name)
         if peer is None or peer.incarnation != holder.incarnation:
             return False
--- a/godwitthread/gateway/promotion_duty.py
+++ b/godwitthread/gateway/promotion_duty.py
@@ -74,6 +74,8 @@
         #: Consecutive refusals; the tokens of a newer holder fence off every order of a former one.
         self._refusals = 0
         self._last_token = 0
+        #: Version of the malformed row that was reported last.
+        self._reported_revision = 0
 
     @property
     def held(self) -> bool:
@@ -170,13 +172,15 @@
             if not 0 < holder.first_token <= MAX_TOKEN:
                 raise ValueError(f'invalid token {holder.first_token}')
         except (ValueError, RecursionError) as exc:
-            self._log.failure(
-                'row_undecodable',
-                table=DUTY_TABLE,
-                row=PROMOTION_ROW,
-                revision=revision,
-                reason=str(exc),
-            )
+            if revision != self._reported_revision:
+                self._reported_revision = revision
+                self._log.event(
+                    'row_undecodable',
+                    table=DUTY_TABLE,
+                    row=PROMOTION_ROW,
+                    revision=revision,
+                    reason=str(exc),
+                )
             return None
         return holder
 
--- a/godwitthread/gateway/registration.py
+++ b/godwitthread/gateway/registration.py
@@ -39,7 +39,7 @@
         log: Log,
         duty: PromotionDuty,
         is_preferred_holder: Callable[[], bool],
-        may_be_running: Callable[[Holder], bool],
+        may_be_running: Callable[[Holder | None], bool],
     ) -> None:
         self._peer = peer
         self._view = view
@@ -48,7 +48,8 @@
         self._duty = duty
         #: Returns whether this instance comes first as the holder of the duty.
         self._is_preferred_holder = is_preferred_holder
-        #: Returns whether a holder of the duty may still be running.
+        #: Returns whether a holder of the duty may be running: the one that the store names, or one
+        #: that it doesn't name.
         self._may_be_running = may_be_running
 
     def run(self, health: StoreHealth, is_leaving: Callable[[], bool]) -> None:
@@ -77,8 +78,7 @@
         if self._duty.held or not self._is_preferred_holder():
             return
         try:
-            holder = self._duty.holder()
-            if holder is None or not self._may_be_running(holder):
+            if not self._may_be_running(self._duty.holder()):
                 self._duty.take()
         except ProxyError as exc:
             self._log.failure(
--- a/tests/test_system/test_gateway_configuration.py
+++ b/tests/test_system/test_gateway_configuration.py
@@ -137,3 +137,22 @@
     wait_until(lambda: any(node.duty.held for node in deployment.nodes))
     wait_until(lambda: not any(node.view.malformed_rows('instances') for node in deployment.nodes))
     assert all(node.ready() for node in deployment.nodes)
+
+
+def test_a_malformed_row_does_not_take_the_duty_from_its_holder(start):
+    """Guard against a second holder of the duty beside one that is running."""
+    deployment = start(3)
+    wait_until(lambda: any(node.duty.held for node in deployment.nodes))
+    # The row names the holder, not the instance that comes first as the holder.
+    holder = next(
+        node for node in deployment.nodes if node.ownership_manager.owner('duty') != node.peer.name
+    )
+    for node in deployment.nodes:
+        node.duty.lose()
+    holder.duty.take()
+    eventlet.sleep(3)
+    tokens = [node.duty.token for node in deployment.nodes]
+    assert [bool(token) for token in tokens].count(True) == 1
+    deployment.store.put('duties', 'promotion', b'{"name": 5}')
+    eventlet.sleep(20)
+    assert [node.duty.token for node in deployment.nodes] == tokens
