Report an error between the rows and the groups, and retry it

What callers could see: none known; content that is neither in force nor reported after an unexpected error outside of the decoding of a row.

Cause: only the update of the groups was watched and retried, not what stands before it.

Change: the whole adoption of a table is reported and retried as one.

Result: test_an_error_outside_of_the_rows_is_reported_and_retried passes.

--- a/godwitthread/gateway/store_view.py
+++ b/godwitthread/gateway/store_view.py
@@ -104,7 +104,7 @@
         """Replace a whole table, unless the content is not newer than the copy."""
         if content.revision <= self.revision(table):
             if table in self._unapplied:
-                self._apply(table)
+                self._adopt(table, source)
             return
         self._tables[table] = {row.key: row for row in content.rows}
         self._revisions[table] = content.revision
@@ -172,7 +172,7 @@
             self.members.pop(member_id, None)
             self._log.event('member_gone', member=member_id)
         if gone:
-            self._apply(self._schema.member_table)
+            self._adopt(self._schema.member_table, STORE)
 
     def retry(self) -> None:
         """Apply content again whose last attempt failed APPLY_RETRY_MS ago."""
@@ -180,25 +180,13 @@
         for table, failure in list(self._unapplied.items()):
             if now_ms - failure.tried_ms >= APPLY_RETRY_MS:
                 with contextlib.suppress(Exception):
-                    self._apply(table)
+                    self._adopt(table, STORE)
 
     def _adopt(self, table: str, source: str) -> None:
-        rows = self._tables[table]
-        digest = _digest(rows)
-        if digest != self._digests.get(table):
-            self._digests[table], self._changed[table] = digest, self._revisions[table]
-        if table == self._schema.operator_table:
-            self._report_faults(table, self._decode_operator_rows(rows, source))
-        elif table == self._schema.member_table:
-            self._report_faults(table, self._decode_members(rows))
-        elif table == PEER_TABLE:
-            self._report_faults(table, self._decode_peers(rows))
-        self._apply(table)
-
-    def _apply(self, table: str) -> None:
         now_ms = self._clock.now_ms()
         failure = self._unapplied.get(table)
         try:
+            self._decode(table, source)
             self._on_change(table)
         except Exception as exc:
             if failure is None:
@@ -213,6 +201,18 @@
             age_ms = now_ms - failure.since_ms
             self._log.event('table_applied', table=table, not_in_force_ms=age_ms)
 
+    def _decode(self, table: str, source: str) -> None:
+        rows = self._tables[table]
+        digest = _digest(rows)
+        if digest != self._digests.get(table):
+            self._digests[table], self._changed[table] = digest, self._revisions[table]
+        if table == self._schema.operator_table:
+            self._report_faults(table, self._decode_operator_rows(rows, source))
+        elif table == self._schema.member_table:
+            self._report_faults(table, self._decode_members(rows))
+        elif table == PEER_TABLE:
+            self._report_faults(table, self._decode_peers(rows))
+
     def _decode_operator_rows(self, rows: dict[str, StoredRow], source: str) -> dict[str, RowFault]:
         prefix = self._schema.evacuation_prefix
         evacuated = {key.removeprefix(prefix) for key in rows if key.startswith(prefix)}
--- a/tests/test_gateway/test_store_view.py
+++ b/tests/test_gateway/test_store_view.py
@@ -272,6 +272,26 @@
     assert set(view.members) == {'m1'}
 
 
+def test_an_error_outside_of_the_rows_is_reported_and_retried(monkeypatch):
+    """Guard against content that is neither in force nor reported after an unexpected error."""
+    events = event_log()
+    view, time = make(events)
+    digest, failures = store_view._digest, [OverflowError('scripted')]
+
+    def fail_once(rows):
+        if failures:
+            raise failures.pop()
+        return digest(rows)
+
+    monkeypatch.setattr(store_view, '_digest', fail_once)
+    with pytest.raises(OverflowError):
+        view.replace('op', rows(('config', b'7'), revision=10))
+    assert events_named(events, 'table_not_applied')
+    time.now_s += store_view.APPLY_RETRY_MS / 1000
+    view.retry()
+    assert view.configuration.version == 7
+
+
 def test_content_that_could_not_be_applied_is_applied_without_another_read():
     """Guard against an instance that reads a table again and again after an error."""
     events, time, failures = event_log(), Time(), [ValueError('scripted')] * 3
