--- a/godwitthread/gateway/store_view.py
+++ b/godwitthread/gateway/store_view.py
@@ -39,8 +39,7 @@
 MAX_REPORTS = 20
 #: Interval at which content is applied again after a failure, in ms. It needs no call to the store.
 APPLY_RETRY_MS = 1_000
-#: Upper bound of the capacity of an instance, in cores. The largest capacity decides which
-#: instances count as slow, so that a malformed one would make all others slow.
+#: Upper bound of the capacity of an instance, in cores.
 MAX_CAPACITY = 10_000
 #: Upper bound of a start time in ms: an integer that all JSON readers keep.
 MAX_INCARNATION = 2**53
@@ -85,7 +84,7 @@
         self._changed: dict[str, int] = {}
         self._missing: dict[str, int] = {}
         self._faults = {table: RowFaults() for table in self.tables()}
-        #: Tables whose content `on_change` failed to apply.
+        #: Tables whose content could not be adopted.
         self._unapplied: dict[str, _Failure] = {}
 
     def tables(self) -> tuple[str, str, str]:
