--- a/tests/test_system/gateways.py
+++ b/tests/test_system/gateways.py
@@ -49,7 +49,7 @@
         self.configure()
         self.announce('m0', 'ready')
         for number in range(instances):
-            self._start(number)
+            self.start(number)
         wait_until(lambda: all(node.ready() for node in self.nodes))
 
     def configure(self, *groups: str) -> None:
@@ -122,7 +122,8 @@
         for server in self._servers:
             server.kill()
 
-    def _start(self, number: int) -> None:
+    def start(self, number: int) -> None:
+        """Start an instance."""
         name = f'entry-{number}'
         store_address, peer_address = Address(HOST, next(_ports)), Address(HOST, next(_ports))
         self._servers.append(serve(store_address, self.store.application_for(name)))
--- a/tests/test_system/test_gateway_configuration.py
+++ b/tests/test_system/test_gateway_configuration.py
@@ -13,6 +13,11 @@
 #: deployments.
 APPLY_MS = 3_000
 CONTACT_S = 4.0
+#: Entry of a member that is valid except for a number that JSON does not have.
+MALFORMED_ENTRY = (
+    b'{"Service": "reports", "Addr": "127.0.0.1:9", "Zone": "stord", "Slots": 2, '
+    b'"State": "ready", "ColdLeftMs": Infinity, "DbRole": "replica", "Seq": 1}'
+)
 
 
 @pytest.fixture
@@ -156,3 +161,16 @@
     deployment.store.put('duties', 'promotion', b'{"name": 5}')
     eventlet.sleep(20)
     assert [node.duty.token for node in deployment.nodes] == tokens
+
+
+def test_an_instance_starts_while_rows_are_malformed(start):
+    """Guard against an instance that never becomes ready because of an entry of another writer."""
+    deployment = start(3)
+    deployment.store.put('servers', 'i-x', b'{"State": "ready", "ColdLeftMs": Infinity}')
+    deployment.store.put('servers', 'i-y', MALFORMED_ENTRY)
+    deployment.store.put('instances', 'x', b'[1e999]')
+    deployment.start(3)
+    wait_until(deployment.nodes[3].ready)
+    deployment.announce('m0', 'draining')
+    wait_until(lambda: all(node.view.members['m0'].draining for node in deployment.nodes))
+    assert all(node.view.malformed_rows('servers') == 2 for node in deployment.nodes)
