--- a/godwitthread/gateway/store_view.py
+++ b/godwitthread/gateway/store_view.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import functools
 import logging
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -39,6 +40,8 @@
 MAX_REPORTS = 20
 #: Interval at which content is applied again after a failure, in ms. It needs no call to the store.
 APPLY_RETRY_MS = 1_000
+#: Number of decoded entries of instances that are kept.
+DECODED_PEERS = 2_048
 #: Upper bound of the capacity of an instance, in cores.
 MAX_CAPACITY = 10_000
 #: Upper bound of a start time in ms: an integer that all JSON readers keep.
@@ -313,6 +316,8 @@
     return msgspec.json.encode(peer)
 
 
+# The whole table is decoded after each change, and only one row of hundreds has changed.
+@functools.lru_cache(maxsize=DECODED_PEERS)
 def decode_peer(name: str, value: bytes) -> Peer:
     """Decode the content of the row of an instance; raise ValueError."""
     peer = _peers.decode(value)
--- a/tests/test_gateway/test_store_view.py
+++ b/tests/test_gateway/test_store_view.py
@@ -352,3 +352,15 @@
     assert view.malformed_rows(PEER_TABLE) == 1
     view.apply_changes(PEER_TABLE, rows(('a', None), revision=5))
     assert view.peers == {}
+
+
+def test_only_changed_entries_of_instances_are_decoded():
+    """Guard against a cost of each change that is that of all entries of a large deployment."""
+    entries = [(f'i{n}', encode_peer(PEER._replace(name=f'i{n}'))) for n in range(500)]
+    view, _ = make()
+    view.replace(PEER_TABLE, rows(*entries, revision=3))
+    misses = store_view.decode_peer.cache_info().misses
+    changed = encode_peer(PEER._replace(name='i7', incarnation=6))
+    view.apply_changes(PEER_TABLE, rows(('i7', changed), revision=4))
+    assert view.peers['i7'].incarnation == 6
+    assert store_view.decode_peer.cache_info().misses == misses + 1
