Send the final answer to a statement before its connection can be closed

Callers saw: a statement ran, and its connection ended without an answer, at the end of the grace period of a planned stop.

Cause: answer_running marked a session as closed, and left the sending to a thread that runs in the next iteration of the event loop. If the result of the statement arrived in between, the thread of the session found the session closed, took the final answer for sent and closed the connection. The sending thread then failed, which was suppressed.

Change: the thread that sends decides whether to send, with no other thread in between. A result that is due before it is delivered as it is.

Test: test_a_result_due_before_the_final_answer_is_sent failed before the change with b'' in place of the result.

--- a/godwitthread/gateway/sessions.py
+++ b/godwitthread/gateway/sessions.py
@@ -128,9 +128,8 @@
         """Send a final answer to the callers of running statements, before the process ends."""
         pool = eventlet.GreenPool()
         for session in list(self._open.values()):
-            result = session.abandon()
-            if result is not None:
-                pool.spawn_n(session.send_last, result)
+            if session.running:
+                pool.spawn_n(session.answer_running)
         with eventlet.Timeout(FINAL_ANSWER_TIMEOUT_MS / 1000, False):
             pool.waitall()
 
@@ -200,16 +199,12 @@
             self.closed = True
             self._port.close()
 
-    def send_last(self, result: Result) -> None:
-        """Send the final answer to the caller unless the connection has ended."""
-        with contextlib.suppress(OSError):
-            if self._port is not None:
-                self._port.answer_last(result)
-
-    def abandon(self) -> Result | None:
-        """Return the final answer to a running statement; its own result is not sent any more."""
+    def answer_running(self) -> None:
+        """Send a final answer to a running statement; its own result is not sent any more."""
+        # The thread of the statement closes the connection once the session is closed. Therefore
+        # no other thread may run between this decision and the sending.
         if self._port is None or self.closed or self.answering or not self.running:
-            return None
+            return
         self.closed = True
         if self._request is None:
             # A transaction is being rolled back.
@@ -220,7 +215,8 @@
                 self.state = TxState.IDLE
         if self.state is not TxState.IDLE:
             self.state = TxState.FAILED
-        return result
+        with contextlib.suppress(OSError):
+            self._port.answer_last(result)
 
     def close(self) -> None:
         """End the session; an open transaction is rolled back."""
--- a/tests/test_platform/test_shutdown.py
+++ b/tests/test_platform/test_shutdown.py
@@ -205,6 +205,17 @@
     assert receive_all(sock) == b'ROW x\r\nDONE receipt\r\nREADY I -\r\n'
 
 
+def test_a_result_due_before_the_final_answer_is_sent(instance):
+    """Guard against a connection that ends without an answer although the statement ran."""
+    sock = instance.open_session()
+    sock.sendall(b'QUERY 1 WRITE a slow\r\n')
+    eventlet.sleep(0.05)
+    # The thread of the session runs before the one that sends the final answer.
+    instance.released.send()
+    instance.sessions.answer_running()
+    assert sock.recv(100) == b'ROW x\r\nDONE receipt\r\nREADY I -\r\n'
+
+
 def test_callers_that_do_not_read_delay_no_final_answer(instance):
     """Guard against two answers to one statement, and against an exit only by SIGKILL."""
     stuck = [instance.open_session() for _ in range(8)]
