Move the routing of promotion orders out of the node

The orders of an instance, those of its peers and the question whether a holder may be running go to DutyRouter; nothing of their behaviour changes. tests/test_gateway passes as before.

--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from godwitthread.core import ownership, wait_limits
+from godwitthread.core import wait_limits
 from godwitthread.core.ownership import PeerReachability
 from godwitthread.core.rate_grants import Grant
 from godwitthread.core.shutdown import Phase
@@ -20,8 +20,9 @@
     unknown_outcome,
 )
 from godwitthread.errors import ErrorKind, ProxyError
-from godwitthread.gateway import links, promotion_duty
+from godwitthread.gateway import links
 from godwitthread.gateway.authority_manager import AuthorityManager, ClaimRequest
+from godwitthread.gateway.duty_router import DutyRouter
 from godwitthread.gateway.failover import Failover
 from godwitthread.gateway.group_runner import TICK_MS, GroupRunner
 from godwitthread.gateway.isolation import run_all, traceback_logger
@@ -29,7 +30,7 @@
 from godwitthread.gateway.ownership_manager import ManagedGroup, OwnershipManager
 from godwitthread.gateway.peer_eviction import PeerEviction
 from godwitthread.gateway.peer_sync import ViewRequest
-from godwitthread.gateway.promotion_duty import OrderAnswer, OrderRequest, PromotionDuty
+from godwitthread.gateway.promotion_duty import OrderRequest, PromotionDuty
 from godwitthread.gateway.rate_limiter import GrantRequest, RateLimiter
 from godwitthread.gateway.registration import Registration
 from godwitthread.gateway.sessions import ANONYMOUS, Sessions
@@ -43,14 +44,11 @@
     from godwitthread.gateway.logs import Log
     from godwitthread.gateway.metrics import Metrics
     from godwitthread.gateway.ports import Ports
-    from godwitthread.gateway.promotion_duty import Holder
 
 #: Delay before a statement is sent to the owner of its group again, in ms.
 ROUTE_RETRY_MS = 30
 #: Time beyond a statement's time limit that its answer from another instance may take, in ms.
 CALL_SLACK_MS = 150
-#: Time limit of an order that another instance carries out, in ms: the sum over all attempts.
-ORDER_TIMEOUT_MS = promotion_duty.ORDER_TIMEOUT_MS * (2**promotion_duty.MAX_ORDER_ATTEMPTS - 1)
 #: Time after the list of instances is known until an instance may own resources without having
 #: reached all candidates, in ms. Without it, each of several instances that start at the same time
 #: would own everything.
@@ -66,7 +64,6 @@
 _grants = msgspec.msgpack.Decoder(Grant)
 _order_requests = msgspec.msgpack.Decoder(OrderRequest)
 _claim_requests = msgspec.msgpack.Decoder(ClaimRequest)
-_order_answers = msgspec.msgpack.Decoder(OrderAnswer)
 _view_requests = msgspec.msgpack.Decoder(ViewRequest)
 
 
@@ -106,6 +103,7 @@
         self.duty = PromotionDuty(peer.name, peer.incarnation, ports, log)
         self.runners: dict[str, GroupRunner] = {}
         self._links: dict[str, Link] = {}
+        self.duty_router = DutyRouter(peer.name, self.duty, self.view, self._links)
         self.ownership_manager = OwnershipManager(
             peer.name, clock, self._reach, self.rate_limiter, log
         )
@@ -140,7 +138,7 @@
             self.log,
             self.duty,
             lambda: self.ownership_manager.owner('duty') == self.peer.name,
-            self._may_be_running,
+            self.duty_router.may_be_running,
         )
         return eventlet.spawn(registration.run, self.store_sync.health, lambda: self.leaving)
 
@@ -275,9 +273,7 @@
         if kind == 'grant':
             return self._grant(_grant_requests.decode(body))
         if kind == 'order':
-            request = _order_requests.decode(body)
-            self.duty.yield_to(self._newest_duty_token())
-            return self.duty.order(request.group, request.member)
+            return self.duty_router.answer(_order_requests.decode(body))
         if kind == 'claim':
             holder = sender.rpartition('/')[0]
             return self.authority.answer(holder, _claim_requests.decode(body))
@@ -305,27 +301,6 @@
         grant: Grant = links.decode_answer(_grants, body)
         return grant
 
-    def _order(self, request: OrderRequest) -> OrderAnswer:
-        def ask(name: str, order: OrderRequest) -> OrderAnswer:
-            body = self._links[name].call('order', order, ORDER_TIMEOUT_MS)
-            answer: OrderAnswer = links.decode_answer(_order_answers, body)
-            return answer
-
-        def is_up(name: str, incarnation: int) -> bool:
-            peer, link = self.view.peers.get(name), self._links.get(name)
-            return bool(peer and peer.incarnation == incarnation and link and link.up)
-
-        self.duty.yield_to(self._newest_duty_token())
-        return promotion_duty.order_through_holder(
-            self.duty, self.peer.name, request, ask, self._known_holder, is_up
-        )
-
-    def _known_holder(self) -> str | None:
-        return ownership.duty_holder({name: link.reach() for name, link in self._links.items()})
-
-    def _newest_duty_token(self) -> int:
-        return max((each.duty_token for each in self._reach().values() if each.up), default=0)
-
     # Ownership
 
     def _reach(self) -> dict[str, PeerReachability]:
@@ -356,7 +331,7 @@
         if runner is None:
             lease = self.authority.add(name)
             runner = GroupRunner(name, self.clock, self._ports, self.log, self._admit, lease)
-            failover = Failover(runner, self.clock, self.log, self._order)
+            failover = Failover(runner, self.clock, self.log, self.duty_router.order)
             self.runners[name] = runner
             self.ownership_manager.add(name, ManagedGroup(runner, failover))
         members = {each.id: each for each in self.view.members.values() if each.group == name}
@@ -457,14 +432,6 @@
         if self._ready_to_own and now_ms - self._minority_since_ms >= MINORITY_GRACE_MS:
             self.sessions.enter(Phase.DRAINING)
 
-    def _may_be_running(self, holder: Holder | None) -> bool:
-        if holder is None:
-            return self._known_holder() is not None
-        peer, link = self.view.peers.get(holder.name), self._links.get(holder.name)
-        if peer is None or peer.incarnation != holder.incarnation:
-            return False
-        return link is None or link.up
-
     # Helpers
 
     def _on_lease_granted(self, group: str) -> None:
