Count no longer an instance that announced its end

Cause: an instance serves while it reaches a majority of the candidates, and a candidate counts until its entry is removed or its address refuses connections. A departed machine does neither: nothing told the others that its process had ended, and entries are removed only under a majority. Leases on primaries ask for the same majority of voters.

Change: as its last act, a process stops voting, marks its entry in the store and tells the connected peers. A peer that is not connected then counts neither in the majority of candidates nor among the voters, 1.5 s later for restarts, which most stops are, and for leases that it granted. A process that answers, or a new entry, refutes the mark. Why this is safe: the process grants nothing after it has announced its end, so it is part of no majority, and the others need a majority of what remains. Silence alone is still no departure. The entries of running instances are as before, so that older builds decode them.

--- a/godwitthread/core/catalog.py
+++ b/godwitthread/core/catalog.py
@@ -89,3 +89,5 @@
     capacity: float
     #: Unix time of the start of the process in ms; identifies one run of the instance.
     incarnation: int
+    #: Whether that process has ended after a planned stop.
+    departed: bool = False
--- a/godwitthread/core/ownership.py
+++ b/godwitthread/core/ownership.py
@@ -44,6 +44,13 @@
     ready: bool = True
     #: Newest fencing token of the peer if it holds the duty of promotions, else 0.
     duty_token: int = 0
+    #: Whether the process of the peer announced its end some time ago.
+    departed: bool = False
+
+    @property
+    def may_be_running(self) -> bool:
+        """Return whether nothing shows that no process of the peer runs."""
+        return not self.refused and not self.departed
 
 
 def capacity(cores: float, link_mbps: float) -> float:
@@ -107,6 +114,7 @@
 
     This prevents two instances that cannot reach each other from owning the same rate.
     """
-    running = [name for name in names if not reach.get(name, PeerReachability(False)).refused]
-    reached = sum(1 for name in running if reach.get(name, PeerReachability(False)).up)
+    known = [reach.get(name, PeerReachability(False)) for name in names]
+    running = [peer for peer in known if peer.may_be_running]
+    reached = sum(1 for peer in running if peer.up)
     return reached >= math.floor(len(running) / 2) + 1 if running else True
--- a/godwitthread/core/write_authority.py
+++ b/godwitthread/core/write_authority.py
@@ -142,7 +142,9 @@
         peer = reach.get(name)
         if peer is None:
             return False
-        return peer.refused or (not peer.ready if peer.up else since_start_ms >= REACH_MS)
+        return not peer.may_be_running or (
+            not peer.ready if peer.up else since_start_ms >= REACH_MS
+        )
 
     return bool(others) and all(name in linked or holds_none(name) for name in others)
 
@@ -155,7 +157,7 @@
         #: Replaced sets with the end of the time in which they must agree, in ms.
         self._former: list[tuple[frozenset[str], int]] = []
         #: Time since which no process of a voter runs, in ms.
-        self._refused_since_ms: dict[str, int] = {}
+        self._ended_since_ms: dict[str, int] = {}
         #: Voters without a running process for longer than any lease.
         self._absent: frozenset[str] = frozenset()
 
@@ -164,19 +166,19 @@
         """Return the voters to ask, including the replaced ones that must still agree."""
         return self._current.union(*(names for names, _ in self._former))
 
-    def update(self, now_ms: int, names: Iterable[str], refused: Collection[str]) -> None:
-        """Set the voters, and those whose address shows that no process runs."""
+    def update(self, now_ms: int, names: Iterable[str], ended: Collection[str]) -> None:
+        """Set the voters, and those of which no process runs."""
         chosen = frozenset(names)
         self._former = [each for each in self._former if each[1] > now_ms]
         if chosen != self._current:
             if self._current:
                 self._former.append((self._current, now_ms + VOTER_CHANGE_MS))
             self._current = chosen
-        since_ms = self._refused_since_ms
-        self._refused_since_ms = {name: since_ms.get(name, now_ms) for name in refused}
+        since_ms = self._ended_since_ms
+        self._ended_since_ms = {name: since_ms.get(name, now_ms) for name in ended}
         self._absent = frozenset(
             name
-            for name, start_ms in self._refused_since_ms.items()
+            for name, start_ms in self._ended_since_ms.items()
             if now_ms - start_ms >= EXCLUSIVE_LEASE_MS
         )
 
--- a/godwitthread/gateway/authority_manager.py
+++ b/godwitthread/gateway/authority_manager.py
@@ -19,7 +19,7 @@
     WriteAuthority,
     is_settled,
 )
-from godwitthread.errors import ProxyError
+from godwitthread.errors import ErrorKind, ProxyError
 from godwitthread.loop import eventlet
 
 if TYPE_CHECKING:
@@ -124,6 +124,7 @@
         self._groups: dict[str, WriteAuthority] = {}
         self._renewed_ms = 0
         self._renewed_groups: set[str] = set()
+        self._votes = True
 
     def add(self, group: str) -> GroupLease:
         """Return the leases on the primary of a group of the configuration."""
@@ -138,10 +139,12 @@
         """Make the first candidates the voters."""
         chosen = [peer.name for peer in candidates[:MAX_VOTERS]]
         self._candidates = {peer.name for peer in candidates}
-        refused = [
-            name for name in chosen if name in self._links and self._links[name].reach().refused
+        ended = [
+            name
+            for name in chosen
+            if name in self._links and not self._links[name].reach().may_be_running
         ]
-        self._voters.update(self._clock.now_ms(), chosen, refused)
+        self._voters.update(self._clock.now_ms(), chosen, ended)
 
     def tick(self, groups: Iterable[str]) -> None:
         """Renew the leases on the primaries of the groups that this instance works on."""
@@ -164,19 +167,25 @@
         """Send claims to the voters; their answers are recorded as they arrive."""
         request = ClaimRequest(tuple(claims))
         for name in self._voters.names:
-            if name == self._name:
+            if name == self._name and self._votes:
                 answer = self.answer(self._holder, request)
                 self._record(self._clock.now_ms(), name, request, answer)
             elif name in self._links and self._links[name].up:
                 eventlet.spawn_n(self._ask, name, request)
 
     def answer(self, holder: str, request: ClaimRequest) -> ClaimAnswer:
-        """Vote on the claims of an instance."""
+        """Vote on the claims of an instance; raise MOVED if this process has ended its work."""
+        if not self._votes:
+            raise ProxyError(ErrorKind.MOVED, 'the instance has stopped')
         now_ms = self._clock.now_ms()
         return ClaimAnswer(
             tuple(self._voter.claim(now_ms, holder, each) for each in request.claims)
         )
 
+    def stop_voting(self) -> None:
+        """Grant no lease any more, to any instance."""
+        self._votes = False
+
     def _has_ended(self, holder: str) -> bool:
         """Return whether the process that holds leases is known to have ended."""
         name, _, incarnation = holder.rpartition('/')
--- a/godwitthread/gateway/links.py
+++ b/godwitthread/gateway/links.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from godwitthread.core.departure import Departure
 from godwitthread.core.ownership import PEER_TIMEOUT_MS, PeerReachability
 from godwitthread.core.table_freshness import TableReports
 from godwitthread.errors import ErrorKind, ProxyError
@@ -103,6 +104,8 @@
 
 FAILED = 'failed'
 HEARTBEAT = 'heartbeat'
+#: Last frame of a process that ends. Older builds end the connection, as its end does.
+DEPARTED = 'departed'
 TABLE_REPORTS = 'table_reports'
 
 
@@ -209,6 +212,8 @@
         self._since_ms = 0
         self._refused = False
         self._peer_status = HeartbeatStatus(False, False)
+        self._departure = Departure()
+        self.update(peer)
         self._stopped = False
         self._retired = False
         self._threads = [eventlet.spawn(self._run), eventlet.spawn(self._heartbeat)]
@@ -218,15 +223,22 @@
         """Return whether the peer is connected and not silent."""
         return self._stream is not None and self._clock.now_ms() - self._heard_ms < PEER_TIMEOUT_MS
 
+    def update(self, peer: Peer) -> None:
+        """Adopt the entry of the peer in the store; its address is the same as before."""
+        self.peer = peer
+        self._departure.read_entry(self._clock.now_ms(), peer.incarnation, peer.departed)
+
     def reach(self) -> PeerReachability:
         """Return the reachability and the last status of the peer."""
         heartbeat_status = self._peer_status
+        up = self.up
         return PeerReachability(
-            self.up,
+            up,
             self._refused,
             heartbeat_status.leaving,
             heartbeat_status.ready,
             heartbeat_status.duty_token,
+            not up and self._departure.has_ended(self._clock.now_ms()),
         )
 
     def call(self, kind: str, body: Any, timeout_ms: int) -> msgspec.Raw:
@@ -302,9 +314,12 @@
                 if self._stream is None:
                     # The connection is usable once the peer has answered on it.
                     self._stream = stream
+                    self._departure.connect()
                     self._report_change(True)
                 if frame.kind == TABLE_REPORTS:
                     self._on_reports(self.peer.name, _reports.decode(frame.body))
+                elif frame.kind == DEPARTED:
+                    self._departure.announce(self._clock.now_ms())
                 elif frame.call_id == 0:
                     self._update_peer_status(_statuses.decode(frame.body))
                 else:
@@ -363,6 +378,12 @@
         stream.send(0, HEARTBEAT, heartbeat_status)
 
 
+def broadcast_departure(streams: set[FrameStream]) -> None:
+    """Tell every peer that is connected to this instance that this process ends."""
+    for stream in streams:
+        stream.send(0, DEPARTED, None)
+
+
 def serve(
     sock: socket.socket,
     streams: set[FrameStream],
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -32,7 +32,7 @@
 from godwitthread.gateway.peer_sync import ViewRequest
 from godwitthread.gateway.promotion_duty import OrderRequest, PromotionDuty
 from godwitthread.gateway.rate_limiter import GrantRequest, RateLimiter
-from godwitthread.gateway.registration import Registration
+from godwitthread.gateway.registration import Registration, mark_departed
 from godwitthread.gateway.sessions import ANONYMOUS, Sessions
 from godwitthread.gateway.store_sync import ReaderRole, StoreSync
 from godwitthread.gateway.store_view import PEER_TABLE, StoreView
@@ -156,6 +156,15 @@
         links.broadcast_heartbeat(self.inbound, self.heartbeat_status())
         self.ownership_manager.reconcile()
 
+    def depart(self) -> None:
+        """Make it known that this process ends, as its last act."""
+        self.authority.stop_voting()
+        mark_departed(self.peer, self.view, self._ports, self.log)
+        # A peer that connects before the announcement would take the process for a running one, so
+        # that it is sent at the very end.
+        links.broadcast_departure(self.inbound)
+        eventlet.sleep(0)
+
     def ready(self) -> bool:
         """Return whether this instance can serve callers."""
         return (
@@ -350,7 +359,7 @@
             if peer.name == self.peer.name:
                 continue
             if known is not None and known.peer.address == peer.address:
-                known.peer = peer
+                known.update(peer)
                 continue
             if known is not None:
                 known.stop()
--- a/godwitthread/gateway/registration.py
+++ b/godwitthread/gateway/registration.py
@@ -10,6 +10,7 @@
 from godwitthread.gateway import promotion_duty
 from godwitthread.gateway.isolation import run_all
 from godwitthread.gateway.store_view import PEER_TABLE, encode_peer
+from godwitthread.loop import eventlet
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -28,6 +29,11 @@
 REGISTER_MS = 2_000
 
 
+#: Time limit for marking the entry when the process ends, in ms. It leaves time for the exit within
+#: the grace period, see `shutdown.EXIT_MARGIN_MS`.
+MARK_TIMEOUT_MS = 300
+
+
 class Registration:
     """Keep the entry of an instance in the store, and the promotion duty taken."""
 
@@ -84,3 +90,18 @@
             self._log.failure(
                 'store_unavailable', table=promotion_duty.DUTY_TABLE, reason=exc.message
             )
+
+
+def mark_departed(peer: Peer, view: StoreView, ports: Ports, log: Log) -> None:
+    """Mark the entry of an instance whose process ends."""
+    revision = view.row_revision(PEER_TABLE, peer.name)
+    if not revision:
+        return
+    content = encode_peer(peer._replace(departed=True))
+    try:
+        with eventlet.Timeout(MARK_TIMEOUT_MS / 1000, False):
+            # The condition keeps a late write from replacing the entry of the next process.
+            ports.store().put(PEER_TABLE, peer.name, content, revision)
+    except Exception as exc:
+        # Peers that are connected learn of the end all the same.
+        log.failure('store_unavailable', table=PEER_TABLE, reason=str(exc))
--- a/godwitthread/gateway/shutdown.py
+++ b/godwitthread/gateway/shutdown.py
@@ -41,6 +41,7 @@
         ):
             break
     node.sessions.answer_running()
+    node.depart()
 
 
 def open_calls(node: Node) -> int:
--- a/godwitthread/gateway/store_view.py
+++ b/godwitthread/gateway/store_view.py
@@ -313,7 +313,8 @@
 
 def encode_peer(peer: Peer) -> bytes:
     """Return the content of the row of an instance."""
-    return msgspec.json.encode(peer)
+    # Older builds accept no further field, so that only a process that has ended adds one.
+    return msgspec.json.encode(peer if peer.departed else peer[:-1])
 
 
 # The whole table is decoded after each change, and only one row of hundreds has changed.
--- a/tests/test_gateway/test_authority_manager.py
+++ b/tests/test_gateway/test_authority_manager.py
@@ -10,6 +10,7 @@
 from godwitthread.clock import Clock
 from godwitthread.core.catalog import Peer
 from godwitthread.core.ownership import PeerReachability
+from godwitthread.core.write_authority import EXCLUSIVE_LEASE_MS
 from godwitthread.errors import ErrorKind, ProxyError
 from godwitthread.gateway.authority_manager import AuthorityManager, ClaimRequest
 from tests.test_gateway.fakes import quiet_log
@@ -35,7 +36,12 @@
         return frozenset((self._sender, self._receiver)) not in self._world.cut
 
     def reach(self):
-        return PeerReachability(self.up, ready=self._receiver not in self._world.not_ready)
+        world = self._world
+        return PeerReachability(
+            self.up,
+            ready=self._receiver not in world.not_ready,
+            departed=self._receiver in world.departed,
+        )
 
     def call(self, kind, body, timeout_ms):
         if not self.up:
@@ -52,9 +58,12 @@
         self.cut: set[frozenset[str]] = set()
         #: Instances that have not become ready since their start.
         self.not_ready: set[str] = set()
+        #: Instances that announced their end some time ago.
+        self.departed: set[str] = set()
         self.now_s = 100.0
         clock = Clock(self.read_clock, self.read_clock)
         peers = {name: Peer(name, Address('10.0.0.1', 1), 'd1', 1.0, 1) for name in NAMES}
+        self.peers = list(peers.values())
         self.managers: dict[str, AuthorityManager] = {}
         self.leases = {}
         self.granted: list[str] = []
@@ -70,7 +79,7 @@
                 self.granted.append,
                 quiet_log(clock),
             )
-            self.managers[name].update_voters(list(peers.values()))
+            self.managers[name].update_voters(self.peers)
             self.leases[name] = self.managers[name].add('orders')
 
     def read_clock(self) -> float:
@@ -143,6 +152,32 @@
     assert not world.leases['a'].is_valid()
 
 
+def test_an_instance_that_ends_grants_no_lease(world):
+    """Guard against a voter that others no longer count."""
+    for name in ('b', 'c'):
+        world.managers[name].stop_voting()
+    world.managers['a'].tick({'orders'})
+    eventlet.sleep(0)
+    assert not world.leases['a'].is_valid()
+
+
+def test_departed_voters_do_not_count_once_their_leases_have_ended(world):
+    """Guard against a group without a usable primary after most instances have left."""
+    for name in ('b', 'c'):
+        world.isolate(name)
+        world.departed.add(name)
+    manager = world.managers['a']
+    manager.update_voters(world.peers)
+    world.advance(EXCLUSIVE_LEASE_MS - 100)
+    manager.update_voters(world.peers)
+    manager.tick({'orders'})
+    assert not world.leases['a'].is_valid()
+    world.advance(100)
+    manager.update_voters(world.peers)
+    manager.tick({'orders'})
+    assert world.leases['a'].is_valid()
+
+
 def test_an_instance_that_is_gone_does_not_delay_the_leases_after_a_restart_of_all(world):
     """Guard against a second without writes while the list still names a removed instance."""
     world.isolate('c')
--- a/tests/test_gateway/test_links.py
+++ b/tests/test_gateway/test_links.py
@@ -10,6 +10,7 @@
 from godwitthread.address import Address
 from godwitthread.clock import Clock
 from godwitthread.core.catalog import Peer
+from godwitthread.core.departure import DEPARTURE_DELAY_MS
 from godwitthread.core.table_freshness import TableReports
 from godwitthread.errors import ErrorKind, ProxyError
 from godwitthread.gateway import links
@@ -151,6 +152,33 @@
     assert changes[-1] is True
 
 
+def test_an_instance_announces_its_end():
+    """Guard against a departed instance that counts as one which can't be reached."""
+    listener = Listener(lambda sender, kind, body: 1)
+    link = connected(listener, [])
+    time_s = [100.0]
+    link._clock = Clock(lambda: time_s[0])
+    links.broadcast_departure(listener.inbound)
+    eventlet.sleep(0.05)
+    assert not link.reach().departed
+    # The address neither refuses nor answers connections from now on.
+    listener.thread.kill()
+    for stream in list(listener.inbound):
+        stream.close()
+    eventlet.sleep(0.05)
+    time_s[0] += DEPARTURE_DELAY_MS / 1000
+    assert link.reach().departed
+    link.stop()
+
+
+def test_an_older_build_ends_the_link_at_the_announcement():
+    """Guard against an older build that takes the announcement for a heartbeat."""
+    frame = msgspec.msgpack.encode((0, links.DEPARTED, None))
+    body = msgspec.msgpack.decode(frame, type=links.Frame).body
+    with pytest.raises(msgspec.DecodeError):
+        msgspec.msgpack.decode(body, type=HeartbeatStatus)
+
+
 def frames_from(listener: Listener, report, heartbeat: tuple) -> list[links.Frame]:
     """Return the frames that answer a heartbeat, the last of which answers a call."""
     near, far = socket.socket(), listener.sock
--- a/tests/test_gateway/test_ownership.py
+++ b/tests/test_gateway/test_ownership.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import random
+
+import pytest
+
 from godwitthread.address import Address
 from godwitthread.core.catalog import Peer
 from godwitthread.core.ownership import (
@@ -18,6 +22,7 @@
 UP = PeerReachability(True)
 DOWN = PeerReachability(False)
 REFUSED = PeerReachability(False, refused=True)
+DEPARTED = PeerReachability(False, departed=True)
 
 
 def peer(number: int, domains: int = 3, capacity: float = 1.0) -> Peer:
@@ -94,6 +99,32 @@
     assert not has_majority(names, reach | {'gw-1': DOWN})
 
 
+def test_departed_instances_do_not_count():
+    """Guard against an outage of the deployment after most instances have left."""
+    names = [f'gw-{number}' for number in range(9)]
+    reach = {name: UP if name < 'gw-4' else DEPARTED for name in names}
+    assert has_majority(names, reach)
+    assert not has_majority(names, reach | {'gw-0': DOWN, 'gw-1': DOWN})
+
+
+@pytest.mark.parametrize('seed', range(200))
+def test_one_side_of_a_partition_owns_resources_after_departures(seed):
+    """Guard against two majorities if the sides know of different departures."""
+    rng = random.Random(seed)
+    names = [f'gw-{number}' for number in range(9)]
+    departed = set(rng.sample(names, rng.randrange(9)))
+    running = [name for name in names if name not in departed]
+    left = set(rng.sample(running, rng.randrange(len(running) + 1)))
+    majorities = 0
+    for side in (left, set(running) - left):
+        known = set(rng.sample(sorted(departed), rng.randrange(len(departed) + 1)))
+        reach = {
+            name: UP if name in side else DEPARTED if name in known else DOWN for name in names
+        }
+        majorities += bool(side) and has_majority(names, reach)
+    assert majorities <= 1
+
+
 def test_the_holder_with_the_newest_token_is_asked():
     """Guard against orders that are sent to a former holder."""
     reach = {
--- a/tests/test_gateway/test_store_view.py
+++ b/tests/test_gateway/test_store_view.py
@@ -336,6 +336,13 @@
             assert 0 <= peer.incarnation <= store_view.MAX_INCARNATION
 
 
+def test_older_builds_can_decode_the_entry_of_a_running_instance():
+    """Guard against entries with a field that an older build takes for malformed."""
+    assert len(json.loads(encode_peer(PEER))) == 5
+    departed = PEER._replace(departed=True)
+    assert store_view.decode_peer(PEER.name, encode_peer(departed)) == departed
+
+
 def test_an_entry_with_the_name_of_another_instance_is_malformed():
     """Guard against work for an instance that is sent to the address in a second entry."""
     view, _ = make()
--- a/tests/test_system/gateways.py
+++ b/tests/test_system/gateways.py
@@ -12,6 +12,7 @@
 from godwitthread.gateway.metrics import Metrics
 from godwitthread.gateway.node import Node
 from godwitthread.gateway.ports import Ports, PromotionResult
+from godwitthread.gateway.shutdown import shut_down
 from godwitthread.loop import eventlet
 from godwitthread.platform.row_decoding import SCHEMA
 from godwitthread.platform.store import StoreClient
@@ -22,6 +23,10 @@
 HOST = '127.0.0.1'
 DOMAINS = ('bergen-a', 'bergen-b', 'stord')
 GROUP = 'orders'
+#: Grace period of a planned stop, in ms.
+GRACE_MS = 6_000
+#: Added to the incarnation at a restart, which makes it unique among all instances.
+INCARNATION_STEP = 1_000
 #: Interval of the checks of `watch`, in s.
 CHECK_S = 0.05
 
@@ -46,6 +51,8 @@
         #: Whether the store answers nobody, so that the operator waits as well.
         self.silent = False
         self._servers: list[Any] = []
+        #: Listening socket of each instance, and the thread that accepts its connections.
+        self._listeners: dict[str, tuple[Any, Any]] = {}
         self.configure()
         self.announce('m0', 'ready')
         for number in range(instances):
@@ -119,15 +126,39 @@
             node.stop()
             for stream in list(node.inbound):
                 stream.close()
-        for server in self._servers:
+        for server in [*self._servers, *(thread for _, thread in self._listeners.values())]:
             server.kill()
 
-    def start(self, number: int) -> None:
-        """Start an instance."""
+    def remove(self, node: Node, announced: bool) -> None:
+        """End an instance whose address then answers nobody; a planned end is announced."""
+        if announced:
+            shut_down(node, self.clock, GRACE_MS, lambda: True)
+        self.nodes.remove(node)
+        node.stop()
+        # The listening socket stays open, so that connections are neither refused nor answered.
+        self._listeners[node.peer.name][1].kill()
+        for stream in list(node.inbound):
+            stream.close()
+
+    def restart_all(self) -> None:
+        """End all instances at once, and start each of them a second later."""
+        nodes = list(self.nodes)
+        for node in nodes:
+            self.remove(node, announced=False)
+            self._listeners[node.peer.name][0].close()
+        eventlet.sleep(1)
+        for node in nodes:
+            self.start(int(node.peer.name.removeprefix('entry-')), node.peer)
+
+    def start(self, number: int, former: Peer | None = None) -> None:
+        """Start an instance, at the address of its former process if there was one."""
         name = f'entry-{number}'
         store_address, peer_address = Address(HOST, next(_ports)), Address(HOST, next(_ports))
         self._servers.append(serve(store_address, self.store.application_for(name)))
         peer = Peer(name, peer_address, DOMAINS[number % 3], 1.0, number + 1)
+        if former is not None:
+            peer = former._replace(incarnation=former.incarnation + INCARNATION_STEP)
+            self._listeners[name][0].close()
         ports = Ports(
             FakeGroup().connect,
             lambda: StoreClient(store_address),
@@ -135,7 +166,8 @@
             lambda *_: PromotionResult(done=True, final=True),
         )
         node = Node(peer, self.clock, ports, quiet_log(self.clock), Metrics())
-        self._servers.append(eventlet.spawn(_accept, listen(peer_address), node))
+        sock = listen(peer.address)
+        self._listeners[name] = sock, eventlet.spawn(_accept, sock, node)
         self.nodes.append(node)
         node.start()
 
