Remove the entries of instances that were never reached

Operators saw: entries of lost instances stay in the store for good if the other instances were restarted within 10 s of the loss. Each counts as a candidate that may be running, so that further losses end the service earlier.

Cause: only the end of a link that was up started the 10 s after which an entry is removed.

Change: they start with the link.

Tests: test_departed_instances_are_removed_from_the_store and test_lost_instances_are_removed_from_the_store failed before the change, with entries left 20 s after the restart.

--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -371,6 +371,8 @@
                 self._on_link_change,
                 self.store_sync.on_reports,
             )
+            # The instance may have ended before this one was started.
+            self._eviction.set_unreachable(peer.name)
         for name in self._links.keys() - {peer.name for peer in chosen}:
             self._links.pop(name).retire()
             self.authority.drop_voter(name)
--- a/tests/test_system/test_departures.py
+++ b/tests/test_system/test_departures.py
@@ -82,6 +82,23 @@
     assert not any(each.ready() for each in deployment.nodes)
 
 
+def test_departed_instances_are_removed_from_the_store(deployment):
+    """Guard against entries of instances that nobody ever removes."""
+    leave(deployment, LEAVING)
+    deployment.restart_all()
+    eventlet.sleep(20)
+    assert all(len(node.view.peers) == INSTANCES - LEAVING for node in deployment.nodes)
+
+
+def test_lost_instances_are_removed_from_the_store(deployment):
+    """Guard against entries of instances that the observers never reached since their start."""
+    for node in deployment.nodes[:3]:
+        deployment.remove(node, announced=False)
+    deployment.restart_all()
+    eventlet.sleep(20)
+    assert all(len(node.view.peers) == INSTANCES - 3 for node in deployment.nodes)
+
+
 def test_work_stops_after_most_instances_were_lost_without_notice(deployment):
     """Guard against two sides of a partition that both serve: silence is no departure."""
     for node in deployment.nodes[:LEAVING]:
