Grant a rate once while two failure domains can't reach each other

Cause: an instance took the first candidate in the ranking that it reaches itself for the granter. With the granter in one of the two domains, both sides reach a majority, and each had a granter of its own.

Change: a candidate that is asked to grant and does not reach one that comes before it asks the voters that it reaches whether they do. If they do, and the missing one may reach a majority through those that can't be asked, that one remains the granter, and the request is forwarded to it by one that reaches it. Nothing is asked while the granter is reached; at most eight peers are, five times a second. Why this works: the ranking is the same everywhere, and now both sides agree on who may own; a candidate that nobody reaches, or that can't have a majority, is replaced as before, 0.3 s later at most. Owners of groups are chosen as before, since leases keep two of them apart. An older build knows no such question, and its silence delays the decision by 0.3 s.

Tests: test_a_rate_has_one_granter_while_two_failure_domains_are_apart failed in two of four cases without the change.

--- a/godwitthread/core/ownership.py
+++ b/godwitthread/core/ownership.py
@@ -109,12 +109,21 @@
     return name if token else None
 
 
+def running(names: Iterable[str], reach: Mapping[str, PeerReachability]) -> list[str]:
+    """Return the names of the instances that may be running."""
+    return [name for name in names if reach.get(name, PeerReachability(False)).may_be_running]
+
+
+def missing(names: Iterable[str], reach: Mapping[str, PeerReachability]) -> list[str]:
+    """Return the names of the instances that are not reached."""
+    return [name for name in names if not reach.get(name, PeerReachability(False)).up]
+
+
 def has_majority(names: Iterable[str], reach: Mapping[str, PeerReachability]) -> bool:
     """Return whether this instance reaches a majority of the candidates that may be running.
 
     This prevents two instances that cannot reach each other from owning the same rate.
     """
-    known = [reach.get(name, PeerReachability(False)) for name in names]
-    running = [peer for peer in known if peer.may_be_running]
-    reached = sum(1 for peer in running if peer.up)
-    return reached >= math.floor(len(running) / 2) + 1 if running else True
+    counted = running(names, reach)
+    reached = sum(1 for name in counted if reach.get(name, PeerReachability(False)).up)
+    return reached >= math.floor(len(counted) / 2) + 1 if counted else True
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -9,7 +9,6 @@
 
 from godwitthread.core import wait_limits
 from godwitthread.core.ownership import PeerReachability
-from godwitthread.core.rate_grants import Grant
 from godwitthread.core.shutdown import Phase
 from godwitthread.core.statements import (
     Action,
@@ -24,6 +23,7 @@
 from godwitthread.gateway.authority_manager import AuthorityManager, ClaimRequest
 from godwitthread.gateway.duty_router import DutyRouter
 from godwitthread.gateway.failover import Failover
+from godwitthread.gateway.grant_router import GrantRouter, ReachRequest
 from godwitthread.gateway.group_runner import TICK_MS, GroupRunner
 from godwitthread.gateway.isolation import run_all, traceback_logger
 from godwitthread.gateway.links import HeartbeatStatus, Hello, Link
@@ -61,7 +61,7 @@
 _run_requests = msgspec.msgpack.Decoder(RunRequest)
 _results = msgspec.msgpack.Decoder(Result)
 _grant_requests = msgspec.msgpack.Decoder(GrantRequest)
-_grants = msgspec.msgpack.Decoder(Grant)
+_reach_requests = msgspec.msgpack.Decoder(ReachRequest)
 _order_requests = msgspec.msgpack.Decoder(OrderRequest)
 _claim_requests = msgspec.msgpack.Decoder(ClaimRequest)
 _view_requests = msgspec.msgpack.Decoder(ViewRequest)
@@ -99,7 +99,9 @@
         self.sessions = Sessions(
             clock, lambda: self.view.configuration, self.run, log, metrics.observe
         )
-        self.rate_limiter = RateLimiter(clock, self._organisation, self._ask_grant, log)
+        self.rate_limiter = RateLimiter(
+            clock, self._organisation, lambda *args: self.grant_router.ask(*args), log
+        )
         self.duty = PromotionDuty(peer.name, peer.incarnation, ports, log)
         self.runners: dict[str, GroupRunner] = {}
         self._links: dict[str, Link] = {}
@@ -107,6 +109,9 @@
         self.ownership_manager = OwnershipManager(
             peer.name, clock, self._reach, self.rate_limiter, log
         )
+        self.grant_router = GrantRouter(
+            peer.name, clock, self.ownership_manager, self.rate_limiter, self._links
+        )
         self.authority = AuthorityManager(
             peer.name,
             self._sender(),
@@ -280,7 +285,9 @@
             finally:
                 self.peer_statements -= 1
         if kind == 'grant':
-            return self._grant(_grant_requests.decode(body))
+            return self.grant_router.answer(_grant_requests.decode(body))
+        if kind == 'reach':
+            return self.grant_router.answer_reach(_reach_requests.decode(body))
         if kind == 'order':
             return self.duty_router.answer(_order_requests.decode(body))
         if kind == 'claim':
@@ -295,21 +302,6 @@
         for runner in self.runners.values():
             runner.end_sender(sender)
 
-    def _grant(self, request: GrantRequest) -> Grant:
-        if self.ownership_manager.owner(f'rate/{request.organisation}') != self.peer.name:
-            raise ProxyError(ErrorKind.MOVED, 'another instance grants the rate')
-        return self.rate_limiter.grant(request)
-
-    def _ask_grant(self, request: GrantRequest, timeout_ms: int) -> Grant:
-        granter = self.ownership_manager.owner(f'rate/{request.organisation}')
-        if granter is None:
-            raise ProxyError(ErrorKind.BACKEND_UNAVAILABLE, 'no instance grants the rate')
-        if granter == self.peer.name:
-            return self.rate_limiter.grant(request)
-        body = self._links[granter].call('grant', request, timeout_ms)
-        grant: Grant = links.decode_answer(_grants, body)
-        return grant
-
     # Ownership
 
     def _reach(self) -> dict[str, PeerReachability]:
--- a/godwitthread/gateway/ownership_manager.py
+++ b/godwitthread/gateway/ownership_manager.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from godwitthread.core import ownership
+from godwitthread.core.indirect_reach import IndirectReach
+from godwitthread.core.write_authority import MAX_VOTERS
 from godwitthread.gateway.failover import Failover
 from godwitthread.gateway.group_runner import GroupRunner
 from godwitthread.loop import eventlet
@@ -36,6 +38,19 @@
 
     majority: bool
     able: tuple[str, ...]
+    #: Candidates that this instance does not reach and that may be running.
+    missing: frozenset[str]
+    #: Those of them that other instances may reach.
+    indirect: frozenset[str]
+
+
+class Granter(NamedTuple):
+    """Granter of a rate, as one instance sees it."""
+
+    #: None without a majority or an available candidate.
+    name: str | None
+    #: Whether it depends on a candidate that this instance does not reach.
+    uncertain: bool
 
 
 class OwnershipManager:
@@ -51,6 +66,8 @@
     ) -> None:
         #: Instances that are eligible as owners.
         self.candidates: list[Peer] = []
+        #: Reach of the candidates that this instance does not reach itself.
+        self.indirect = IndirectReach()
         #: Groups that this instance owns.
         self.owned: set[str] = set()
         self._name = name
@@ -67,9 +84,14 @@
         self._reach_read_ms = 0
         #: Owners by resource, cached for the current inputs.
         self._owners: dict[str, str | None] = {}
+        #: Granters by organisation, cached likewise.
+        self._granters: dict[str, Granter] = {}
         #: Position of this instance by resource, cached likewise.
         self._ranks: dict[str, int] = {}
         self._candidate_names: frozenset[str] = frozenset()
+        #: Candidates to ask about those that this instance does not reach. Their number is bounded,
+        #: so that the cost of the questions does not grow with the deployment.
+        self._reporters: list[str] = []
 
     def add(self, name: str, group: ManagedGroup) -> None:
         """Add a group of the configuration."""
@@ -109,6 +131,37 @@
             self._owners[resource] = next(iter(order), None)
         return self._owners[resource]
 
+    def granter(self, organisation: str) -> Granter:
+        """Return the granter of a rate.
+
+        In contrast to an owner, it need not be reached by this instance: a second granter would
+        double the rate, while two owners of a group are kept apart by leases.
+        """
+        inputs = self._current_inputs()
+        if not inputs.majority:
+            return Granter(None, False)
+        if organisation not in self._granters:
+            names = inputs.missing.union(inputs.able)
+            order = ownership.ranked(f'rate/{organisation}', self.candidates, names)
+            in_use = inputs.indirect.union(inputs.able)
+            name = next((each for each in order if each in in_use), None)
+            before = order[: order.index(name) + 1] if name else order
+            self._granters[organisation] = Granter(name, not inputs.missing.isdisjoint(before))
+        return self._granters[organisation]
+
+    def able(self) -> tuple[str, ...]:
+        """Return the candidates that this instance reaches and that can own resources."""
+        return self._current_inputs().able
+
+    def reporters(self) -> list[str]:
+        """Return the candidates to ask about those that this instance does not reach."""
+        self._current_inputs()
+        return self._reporters
+
+    def reporter(self, name: str) -> str | None:
+        """Return a candidate that reaches one which this instance does not, None without any."""
+        return self.indirect.reporter(name, self.reporters())
+
     def rank(self, resource: str) -> int:
         """Return the position of this instance in the order of the available candidates."""
         inputs = self._current_inputs()
@@ -135,7 +188,7 @@
             elif not owned and name in self.owned:
                 self._end(name, group)
         for organisation in self._rate_limiter.granted():
-            if self.owner(f'rate/{organisation}') != self._name:
+            if self.granter(organisation).name != self._name:
                 self._rate_limiter.forget_granter(organisation)
 
     def tick(self) -> None:
@@ -163,17 +216,27 @@
         reach = self._reach()
         names = [peer.name for peer in self.candidates]
         majority = ownership.has_majority(names, reach)
-        inputs = OwnershipInputs(majority, tuple(ownership.eligible(names, reach)))
+        able = ownership.eligible(names, reach)
+        running = ownership.running(names, reach)
+        missing = ownership.missing(running, reach)
+        self.indirect.update(now_ms, missing)
+        voters = [name for name in names[:MAX_VOTERS] if name in running and name != self._name]
+        self._reporters = [name for name in voters if name in able]
+        indirect = self.indirect.may_own(now_ms, len(voters) + 1, self._reporters)
+        inputs = OwnershipInputs(majority, tuple(able), frozenset(missing), frozenset(indirect))
         if inputs != self._inputs:
             self._inputs = inputs
-            self._owners.clear()
-            self._ranks.clear()
+            self._clear_cache()
         self._reach_read_ms = now_ms
         return inputs
 
     def _invalidate(self) -> None:
         self._inputs = self._reconciled_inputs = None
+        self._clear_cache()
+
+    def _clear_cache(self) -> None:
         self._owners.clear()
+        self._granters.clear()
         self._ranks.clear()
 
     def _begin(self, name: str, group: ManagedGroup) -> None:
--- a/godwitthread/gateway/rate_limiter.py
+++ b/godwitthread/gateway/rate_limiter.py
@@ -27,6 +27,8 @@
     organisation: str
     needed: int
     wanted: float
+    #: Number of times that it was forwarded; older builds know no such field.
+    forwards: int = 0
 
 
 class RateLimiter:
