End open transactions of a withdrawn key

Cause: a session looked its key up only at the start of an operation.

Change: a statement of a transaction whose key is withdrawn, or belongs to another organisation now, is refused with NOAUTH, and the transaction is rolled back. An idle one is rolled back when the configuration comes into force, and stays failed if the key returns, since its writes are lost. A transaction still outlasts a change of its route, as PROTOCOL says, and one without a key on an open route needs none.

Tests: four cases in test_sessions.py failed before the change; two more say what must not end a transaction.

--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -323,7 +323,7 @@
                 partial(self._remove_group, name)
                 for name in self.runners.keys() - cfg.groups.keys()
             ]
-            steps += [self._update_links]
+            steps += [self._update_links, self.sessions.end_withdrawn]
         run_all(steps)
 
     def _update_group(self, cfg: Configuration, group: Group) -> None:
--- a/godwitthread/gateway/sessions.py
+++ b/godwitthread/gateway/sessions.py
@@ -46,6 +46,7 @@
 #: Messages of refusals and final answers.
 CLOSING_MESSAGE = 'the instance closes its sessions'
 STOPPED_MESSAGE = 'the instance stopped'
+WITHDRAWN_MESSAGE = 'the key was withdrawn; the transaction was rolled back'
 
 _NO_RESULT = Result()
 
@@ -113,6 +114,19 @@
             return route, ANONYMOUS, None
         return None, '', failure(ErrorKind.KEY_INVALID, 'unknown key')
 
+    def is_withdrawn(self, key: str, organisation: str) -> bool:
+        """Return whether a key no longer belongs to the organisation that it was resolved to."""
+        cfg = self._configuration()
+        if cfg is None or organisation == ANONYMOUS:
+            return False
+        current = cfg.keys.get(key)
+        return current is None or current.name != organisation
+
+    def end_withdrawn(self) -> None:
+        """End idle transactions of withdrawn keys; others end at their next statement."""
+        for session in list(self._open.values()):
+            session.end_if_withdrawn()
+
     def forget(self, session: Session) -> None:
         """Remove a session that has ended."""
         self._open.pop(session.number, None)
@@ -174,6 +188,8 @@
         self._begun_at_owner = False
         self._wrote = False
         self._spent_ms = 0
+        #: Whether the transaction failed because its key was withdrawn.
+        self._key_withdrawn = False
 
     @property
     def busy(self) -> bool:
@@ -218,11 +234,20 @@
         with contextlib.suppress(OSError):
             self._port.answer_last(result)
 
+    def end_if_withdrawn(self) -> None:
+        """Roll back an idle transaction whose key was withdrawn."""
+        if self.running or not self._is_withdrawn():
+            return
+        begun, self._begun_at_owner = self._begun_at_owner, False
+        self.state, self._key_withdrawn = TxState.FAILED, True
+        if begun:
+            eventlet.spawn_n(self._roll_back, self._route, self._owner)
+
     def close(self) -> None:
         """End the session; an open transaction is rolled back."""
         self._sessions.forget(self)
         if self.state is TxState.OPEN and self._begun_at_owner:
-            self._roll_back()
+            self._roll_back(self._route, self._owner)
 
     def mark_answered(self) -> None:
         """Record that the answer to the last statement was sent."""
@@ -252,7 +277,11 @@
         if verb is Verb.ROLLBACK or (verb is Verb.COMMIT and self.state is TxState.FAILED):
             return self._end(statement)
         if self.state is TxState.FAILED:
+            if self._key_withdrawn:
+                return failure(ErrorKind.KEY_WITHDRAWN, WITHDRAWN_MESSAGE)
             return failure(ErrorKind.MALFORMED_REQUEST, 'the transaction has failed; end it first')
+        if self._is_withdrawn():
+            return self._end_withdrawn(statement)
         if self._sessions.phase >= Phase.ABORTING and verb is not Verb.COMMIT:
             return self.refuse()
         local = _LOCAL_HANDLERS.get(verb)
@@ -302,7 +331,7 @@
             return self.malformed()
         failed = self.state is TxState.FAILED
         if not failed and self._begun_at_owner:
-            self._roll_back()
+            self._roll_back(self._route, self._owner)
         self._reset()
         if failed and statement.verb is Verb.COMMIT:
             return failure(ErrorKind.TRANSACTION_LOST, 'rolled back')
@@ -337,7 +366,7 @@
             logger.exception('statement %s failed', statement.id)
             result, owner = unknown_outcome(req, 'internal error'), self._owner
             if self.state is TxState.OPEN:
-                self._roll_back()
+                self._roll_back(self._route, self._owner)
         finally:
             self._request = None
         return self._finish(statement, result, owner, writes)
@@ -390,7 +419,7 @@
             self._reset()
             return result
         if self._begun_at_owner and not result.ended:
-            self._roll_back()
+            self._roll_back(self._route, self._owner)
         self._begun_at_owner = False
         self.state = TxState.FAILED
         return result
@@ -403,27 +432,40 @@
         self._spent_ms = 0
         return None
 
+    def _is_withdrawn(self) -> bool:
+        """Return whether an open transaction belongs to a key that was withdrawn since."""
+        return self.state is TxState.OPEN and self._sessions.is_withdrawn(
+            self._key, self._organisation
+        )
+
+    def _end_withdrawn(self, statement: Statement) -> Result:
+        result = self._fail_in_transaction(failure(ErrorKind.KEY_WITHDRAWN, WITHDRAWN_MESSAGE))
+        self._key_withdrawn = True
+        if statement.verb is Verb.COMMIT:
+            self._reset()
+        self._report(statement, result, 0)
+        return result
+
     def _fail_in_transaction(self, result: Result) -> Result:
         if self.state is TxState.OPEN:
             if self._begun_at_owner:
-                self._roll_back()
+                self._roll_back(self._route, self._owner)
             self._begun_at_owner = False
             self.state = TxState.FAILED
         return result
 
-    def _roll_back(self) -> None:
-        route = self._route
+    def _roll_back(self, route: Route | None, owner: str | None) -> None:
         assert route is not None
         req = RunRequest(Action.ROLLBACK, self.number, route.group, self._organisation, '')
         try:
-            self._sessions.run(req, self._owner)
+            self._sessions.run(req, owner)
         except Exception:
             # The owner ends the transaction when it has been idle for too long.
             logger.exception('rollback of session %d failed', self.number)
 
     def _reset(self) -> None:
         self.state = TxState.IDLE
-        self._begun_at_owner = self._wrote = self._read_only = False
+        self._begun_at_owner = self._wrote = self._read_only = self._key_withdrawn = False
         self._owner = None
 
     def _has_input(self) -> bool:
--- a/tests/test_gateway/test_sessions.py
+++ b/tests/test_gateway/test_sessions.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import eventlet
 import pytest
 
 from godwitthread.clock import Clock
+from godwitthread.core.catalog import Organisation
 from godwitthread.core.statements import (
     Action,
     Consistency,
@@ -74,6 +76,73 @@
     assert owner.requests == []
 
 
+def begin_and_write(session) -> None:
+    """Begin a transaction, whose first statement brings it to the owner."""
+    session.run(statement(Verb.BEGIN))
+    session.run(statement(Verb.WRITE, 'WRITE i x', name='i'))
+
+
+@pytest.mark.parametrize(
+    ('verb', 'state'), [(Verb.READ, TxState.FAILED), (Verb.COMMIT, TxState.IDLE)]
+)
+def test_a_withdrawn_key_ends_an_open_transaction(verb, state):
+    """Guard against statements and commits of a transaction whose key was withdrawn."""
+    session, _, owner, known = open_session()
+    begin_and_write(session)
+    known[0] = configuration(2, keys=('other',))
+    result = session.run(statement(verb, f'{verb.name} i', name='i'))
+    assert result.error == ErrorKind.KEY_WITHDRAWN.value
+    assert owner.actions() == [Action.IN_TRANSACTION, Action.ROLLBACK]
+    assert session.state is state
+
+
+def test_a_key_of_another_organisation_ends_an_open_transaction():
+    """Guard against a transaction that goes on for the organisation that lost the key."""
+    session, _, owner, known = open_session()
+    begin_and_write(session)
+    keys = {'k1': Organisation('guests', 10.0, 10.0)}
+    known[0] = configuration(2)._replace(keys=keys)
+    assert session.run(statement(Verb.COMMIT)).error == ErrorKind.KEY_WITHDRAWN.value
+    assert owner.actions() == [Action.IN_TRANSACTION, Action.ROLLBACK]
+
+
+def test_idle_transactions_end_with_their_key():
+    """Guard against locks and connections that a withdrawn key holds until the next statement."""
+    session, _, owner, known = open_session()
+    begin_and_write(session)
+    known[0] = configuration(2, keys=('other',))
+    session._sessions.end_withdrawn()
+    eventlet.sleep(0)
+    assert owner.actions() == [Action.IN_TRANSACTION, Action.ROLLBACK]
+    # A key that is issued again does not revive the transaction, which has lost its writes.
+    known[0] = configuration(3)
+    assert session.run(statement(Verb.READ, 'READ i', name='i')).error == 'key_withdrawn'
+    assert session.run(statement(Verb.COMMIT)).error == ErrorKind.TRANSACTION_LOST.value
+    assert owner.actions() == [Action.IN_TRANSACTION, Action.ROLLBACK]
+    assert session.state is TxState.IDLE
+
+
+def test_a_transaction_on_an_open_route_needs_no_key():
+    """Guard against transactions of callers without a key that end at each configuration."""
+    cfg = configuration()._replace(routes={'orders-db': route(open=True)})
+    session, _, owner, known = open_session(cfg, key='nobody')
+    begin_and_write(session)
+    known[0] = configuration(2, keys=('other',))._replace(routes=cfg.routes)
+    session._sessions.end_withdrawn()
+    assert not session.run(statement(Verb.COMMIT)).error
+    assert owner.actions() == [Action.IN_TRANSACTION, Action.COMMIT]
+
+
+def test_a_transaction_outlasts_its_route():
+    """Guard against transactions that end although a change of a route applies after them."""
+    session, _, owner, known = open_session()
+    begin_and_write(session)
+    known[0] = configuration(2)._replace(routes={})
+    session._sessions.end_withdrawn()
+    assert not session.run(statement(Verb.COMMIT)).error
+    assert owner.actions() == [Action.IN_TRANSACTION, Action.COMMIT]
+
+
 def test_a_begun_transaction_keeps_its_route():
     """Guard against a transaction that is moved to another group by a new configuration."""
     session, _, owner, known = open_session()
