Say in the log whether a lost peer had announced its end

Without it, operators can't tell instances that left from those that can't be reached, which the others wait for. The field `announced` of peer_lost is checked through Link.announced_end in test_an_instance_announces_its_end.

--- a/godwitthread/core/departure.py
+++ b/godwitthread/core/departure.py
@@ -25,6 +25,11 @@
         #: Whether a process was heard since the entry was marked.
         self._refuted = False
 
+    @property
+    def is_known(self) -> bool:
+        """Return whether the end of the process is known, even if it still counts."""
+        return self._since_ms is not None
+
     def announce(self, now_ms: int) -> None:
         """Record that the process announced its end."""
         self._since_ms = now_ms
--- a/godwitthread/gateway/links.py
+++ b/godwitthread/gateway/links.py
@@ -223,6 +223,11 @@
         """Return whether the peer is connected and not silent."""
         return self._stream is not None and self._clock.now_ms() - self._heard_ms < PEER_TIMEOUT_MS
 
+    @property
+    def announced_end(self) -> bool:
+        """Return whether the process of the peer announced that it ends."""
+        return self._departure.is_known
+
     def update(self, peer: Peer) -> None:
         """Adopt the entry of the peer in the store; its address is the same as before."""
         self.peer = peer
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -378,7 +378,7 @@
             self.authority.drop_voter(name)
             self.store_sync.forget_peer(name)
             if self._eviction.set_unreachable(name):
-                self.log.event('peer_lost', peer=name)
+                self.log.event('peer_lost', peer=name, announced=self._links[name].announced_end)
         self.ownership_manager.reconcile()
 
     # Background work
--- a/tests/test_gateway/test_links.py
+++ b/tests/test_gateway/test_links.py
@@ -160,6 +160,7 @@
     link._clock = Clock(lambda: time_s[0])
     links.broadcast_departure(listener.inbound)
     eventlet.sleep(0.05)
+    assert link.announced_end
     assert not link.reach().departed
     # The address neither refuses nor answers connections from now on.
     listener.thread.kill()
