Drop calls of peers that have given up the connection

Callers saw: a write whose outcome was reported as unknown ran seconds later and overwrote newer ones; a promotion ordered by an instance that had given the order up.

Cause: an instance that was suspended finds calls in the buffers of its sockets when it wakes. Their openers have closed the connection after 1 s of silence, but the end lies behind the calls, which were executed first. The time limit in a request counts from its receipt.

Change: a call is dropped if the end of its connection has been received behind it, or if nothing was read for 1 s: peers send a heartbeat every 0.3 s and give a link up after 1 s without an answer. Nothing changes on the wire.

Tests: test_calls_of_a_connection_that_its_opener_closed_are_not_executed and test_calls_that_waited_for_a_suspended_instance_are_not_executed failed before the change.

--- a/godwitthread/gateway/links.py
+++ b/godwitthread/gateway/links.py
@@ -19,7 +19,13 @@
 from godwitthread.core.table_freshness import TableReports
 from godwitthread.errors import ErrorKind, ProxyError
 from godwitthread.loop import eventlet
-from godwitthread.sockets import configure, connect, receive, shutdown_socket
+from godwitthread.sockets import (
+    configure,
+    connect,
+    peer_has_closed,
+    receive,
+    shutdown_socket,
+)
 
 if TYPE_CHECKING:
     import socket
@@ -140,6 +146,11 @@
         if not self._wake.ready():
             self._wake.send()
 
+    @property
+    def ended_by_peer(self) -> bool:
+        """Return whether the peer has closed the connection, even behind unread frames."""
+        return peer_has_closed(self._sock)
+
     def read(self) -> bytes | None:
         """Return the next frame, None at the end; raise OSError."""
         while True:
@@ -391,6 +402,7 @@
 
 def serve(
     sock: socket.socket,
+    clock: Clock,
     streams: set[FrameStream],
     heartbeat_status: Callable[[], HeartbeatStatus],
     handler: CallHandler,
@@ -411,8 +423,17 @@
         # Each connection is a separate sender: its open transactions end with it, and a later
         # connection of the same peer never joins them.
         sender = f'{hello.name}/{hello.incarnation}/{next(_connections)}'
+        heard_ms = clock.now_ms()
         while (data := stream.read()) is not None:
+            now_ms, former_ms = clock.now_ms(), heard_ms
+            heard_ms = now_ms
             frame = _frames.decode(data)
+            if now_ms - former_ms >= PEER_TIMEOUT_MS or (frame.call_id and stream.ended_by_peer):
+                # This process was suspended, or the frame was delayed. The peer, which got no
+                # heartbeat, has given up its calls and reported their outcome as unknown. A
+                # statement or an order that runs now would overwrite newer ones.
+                logger.info('link from %s given up by the peer', sender)
+                return
             if frame.call_id == 0:
                 stream.send(0, HEARTBEAT, heartbeat_status())
                 sent_ms = _sending_time(frame)
--- a/godwitthread/platform/gateway_process.py
+++ b/godwitthread/platform/gateway_process.py
@@ -151,6 +151,7 @@
         node = self.node
         links.serve(
             sock,
+            self.clock,
             node.inbound,
             node.heartbeat_status,
             node.handle,
--- a/godwitthread/sockets.py
+++ b/godwitthread/sockets.py
@@ -76,6 +76,13 @@
     return not poller.poll(0)
 
 
+def peer_has_closed(sock: socket.socket) -> bool:
+    """Return whether the end of the connection was received, even behind unread data."""
+    poller = _original_poll()
+    poller.register(sock.fileno(), select.POLLRDHUP)
+    return bool(poller.poll(0))
+
+
 def receive(sock: socket.socket, size: int) -> bytes:
     """Receive up to `size` bytes, none at the end of the connection; raise OSError on failure.
 
--- a/tests/test_gateway/test_links.py
+++ b/tests/test_gateway/test_links.py
@@ -29,6 +29,7 @@
         self.ended: list[str] = []
         self.heartbeat_status = HeartbeatStatus(False, True)
         self.report = lambda stream, echo_ms: None
+        self.time_s = 100.0
         self.thread = eventlet.spawn(self._accept)
 
     @property
@@ -39,7 +40,8 @@
         while True:
             conn, _ = self.sock.accept()
             eventlet.spawn_n(
-                links.serve, conn, self.inbound, lambda: self.heartbeat_status, self._handle,
+                links.serve, conn, Clock(lambda: self.time_s), self.inbound,
+                lambda: self.heartbeat_status, self._handle,
                 self.ended.append, lambda *args: self.report(*args),
             )  # fmt: skip
 
@@ -180,6 +182,48 @@
         msgspec.msgpack.decode(body, type=HeartbeatStatus)
 
 
+def send_frames(listener: Listener, *frames: tuple) -> socket.socket:
+    """Open a connection to an instance and send frames at once."""
+    near = socket.socket()
+    near.connect(listener.sock.getsockname())
+    near.sendall(frame_bytes(Hello('a', 1)) + b''.join(map(frame_bytes, frames)))
+    return near
+
+
+def frame_bytes(content) -> bytes:
+    """Return the wire form of a frame."""
+    data = msgspec.msgpack.encode(content)
+    return len(data).to_bytes(4, 'big') + data
+
+
+def test_calls_of_a_connection_that_its_opener_closed_are_not_executed():
+    """Guard against work whose outcome was reported as unknown and that runs later.
+
+    An instance that was suspended finds such calls in the buffers of its sockets.
+    """
+    executed = []
+    listener = Listener(lambda sender, kind, body: executed.append(kind))
+    near = send_frames(listener, (1, 'run', None), (2, 'order', None))
+    near.close()
+    eventlet.sleep(0.05)
+    assert executed == []
+    assert not listener.inbound
+
+
+def test_calls_that_waited_for_a_suspended_instance_are_not_executed():
+    """Guard against late work if the end of the connection doesn't reach the instance."""
+    executed = []
+    listener = Listener(lambda sender, kind, body: executed.append(kind))
+    near = send_frames(listener, (1, 'before', None))
+    eventlet.sleep(0.05)
+    listener.time_s += links.PEER_TIMEOUT_MS / 1000
+    near.sendall(frame_bytes((2, 'after', None)))
+    eventlet.sleep(0.05)
+    assert executed == ['before']
+    assert not listener.inbound
+    near.close()
+
+
 def frames_from(listener: Listener, report, heartbeat: tuple) -> list[links.Frame]:
     """Return the frames that answer a heartbeat, the last of which answers a call."""
     near, far = socket.socket(), listener.sock
--- a/tests/test_platform/test_shutdown.py
+++ b/tests/test_platform/test_shutdown.py
@@ -367,7 +367,13 @@
 
     node.runners['orders'] = Runner()
     eventlet.spawn(
-        links.serve, far, node.inbound, node.heartbeat_status, node.handle, node.peer_ended
+        links.serve,
+        far,
+        node.clock,
+        node.inbound,
+        node.heartbeat_status,
+        node.handle,
+        node.peer_ended,
     )
     peer = FrameStream(near)
     peer.send_raw(links._encoder.encode(links.Hello('peer', 1)))
--- a/tests/test_system/gateways.py
+++ b/tests/test_system/gateways.py
@@ -192,6 +192,7 @@
         eventlet.spawn_n(
             links.serve,
             conn,
+            node.clock,
             node.inbound,
             node.heartbeat_status,
             node.handle,
