Move the questions about reach out of the routing of grants

Replacing a primary needs the same agreement on the owner. ReachProbe asks and answers, GrantRouter forwards; nothing of their behaviour changes, and tests/test_gateway passes as before.

--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -23,7 +23,7 @@
 from godwitthread.gateway.authority_manager import AuthorityManager, ClaimRequest
 from godwitthread.gateway.duty_router import DutyRouter
 from godwitthread.gateway.failover import Failover
-from godwitthread.gateway.grant_router import GrantRouter, ReachRequest
+from godwitthread.gateway.grant_router import GrantRouter
 from godwitthread.gateway.group_runner import TICK_MS, GroupRunner
 from godwitthread.gateway.isolation import run_all, traceback_logger
 from godwitthread.gateway.links import HeartbeatStatus, Hello, Link
@@ -32,6 +32,7 @@
 from godwitthread.gateway.peer_sync import ViewRequest
 from godwitthread.gateway.promotion_duty import OrderRequest, PromotionDuty
 from godwitthread.gateway.rate_limiter import GrantRequest, RateLimiter
+from godwitthread.gateway.reach_probe import ReachProbe, ReachRequest
 from godwitthread.gateway.registration import Registration, mark_departed
 from godwitthread.gateway.sessions import ANONYMOUS, Sessions
 from godwitthread.gateway.store_sync import ReaderRole, StoreSync
@@ -109,8 +110,9 @@
         self.ownership_manager = OwnershipManager(
             peer.name, clock, self._reach, self.rate_limiter, log
         )
+        self.reach_probe = ReachProbe(clock, self.ownership_manager, self._links)
         self.grant_router = GrantRouter(
-            peer.name, clock, self.ownership_manager, self.rate_limiter, self._links
+            peer.name, self.ownership_manager, self.reach_probe, self.rate_limiter, self._links
         )
         self.authority = AuthorityManager(
             peer.name,
@@ -287,7 +289,7 @@
         if kind == 'grant':
             return self.grant_router.answer(_grant_requests.decode(body))
         if kind == 'reach':
-            return self.grant_router.answer_reach(_reach_requests.decode(body))
+            return self.reach_probe.answer(_reach_requests.decode(body))
         if kind == 'order':
             return self.duty_router.answer(_order_requests.decode(body))
         if kind == 'claim':
--- a/godwitthread/gateway/ownership_manager.py
+++ b/godwitthread/gateway/ownership_manager.py
@@ -44,8 +44,8 @@
     indirect: frozenset[str]
 
 
-class Granter(NamedTuple):
-    """Granter of a rate, as one instance sees it."""
+class AgreedOwner(NamedTuple):
+    """Owner of a resource that instances agree on, as one of them sees it."""
 
     #: None without a majority or an available candidate.
     name: str | None
@@ -84,8 +84,8 @@
         self._reach_read_ms = 0
         #: Owners by resource, cached for the current inputs.
         self._owners: dict[str, str | None] = {}
-        #: Granters by organisation, cached likewise.
-        self._granters: dict[str, Granter] = {}
+        #: Agreed owners by resource, cached likewise.
+        self._agreed: dict[str, AgreedOwner] = {}
         #: Position of this instance by resource, cached likewise.
         self._ranks: dict[str, int] = {}
         self._candidate_names: frozenset[str] = frozenset()
@@ -131,23 +131,22 @@
             self._owners[resource] = next(iter(order), None)
         return self._owners[resource]
 
-    def granter(self, organisation: str) -> Granter:
-        """Return the granter of a rate.
+    def agreed_owner(self, resource: str) -> AgreedOwner:
+        """Return the owner that instances agree on even if some do not reach it.
 
-        In contrast to an owner, it need not be reached by this instance: a second granter would
-        double the rate, while two owners of a group are kept apart by leases.
+        Used where a second owner does harm: for rates, and for the replacement of primaries.
         """
         inputs = self._current_inputs()
         if not inputs.majority:
-            return Granter(None, False)
-        if organisation not in self._granters:
+            return AgreedOwner(None, False)
+        if resource not in self._agreed:
             names = inputs.missing.union(inputs.able)
-            order = ownership.ranked(f'rate/{organisation}', self.candidates, names)
+            order = ownership.ranked(resource, self.candidates, names)
             in_use = inputs.indirect.union(inputs.able)
             name = next((each for each in order if each in in_use), None)
             before = order[: order.index(name) + 1] if name else order
-            self._granters[organisation] = Granter(name, not inputs.missing.isdisjoint(before))
-        return self._granters[organisation]
+            self._agreed[resource] = AgreedOwner(name, not inputs.missing.isdisjoint(before))
+        return self._agreed[resource]
 
     def able(self) -> tuple[str, ...]:
         """Return the candidates that this instance reaches and that can own resources."""
@@ -188,7 +187,7 @@
             elif not owned and name in self.owned:
                 self._end(name, group)
         for organisation in self._rate_limiter.granted():
-            if self.granter(organisation).name != self._name:
+            if self.agreed_owner(f'rate/{organisation}').name != self._name:
                 self._rate_limiter.forget_granter(organisation)
 
     def tick(self) -> None:
@@ -236,7 +235,7 @@
 
     def _clear_cache(self) -> None:
         self._owners.clear()
-        self._granters.clear()
+        self._agreed.clear()
         self._ranks.clear()
 
     def _begin(self, name: str, group: ManagedGroup) -> None:
--- a/tests/test_gateway/test_grant_router.py
+++ b/tests/test_gateway/test_grant_router.py
@@ -14,9 +14,10 @@
 from godwitthread.core.indirect_reach import PROBE_INTERVAL_MS
 from godwitthread.core.ownership import PeerReachability, ranked
 from godwitthread.errors import ErrorKind, ProxyError
-from godwitthread.gateway.grant_router import GrantRouter, ReachRequest
+from godwitthread.gateway.grant_router import GrantRouter
 from godwitthread.gateway.ownership_manager import OwnershipManager
 from godwitthread.gateway.rate_limiter import GrantRequest, RateLimiter
+from godwitthread.gateway.reach_probe import ReachProbe, ReachRequest
 from tests.test_gateway.fakes import quiet_log
 
 #: Failure domain of each instance.
@@ -50,7 +51,9 @@
         router = self._world.routers[self._receiver]
         data = msgspec.msgpack.encode(body)
         if kind == 'reach':
-            answer = router.answer_reach(msgspec.msgpack.decode(data, type=ReachRequest))
+            answer = self._world.probes[self._receiver].answer(
+                msgspec.msgpack.decode(data, type=ReachRequest)
+            )
         else:
             answer = router.answer(msgspec.msgpack.decode(data, type=GrantRequest))
         return msgspec.msgpack.encode(answer)
@@ -74,6 +77,7 @@
         peers = [Peer(name, Address('10.0.0.1', 1), DOMAINS[name], 1.0, 1) for name in DOMAINS]
         self.managers: dict[str, OwnershipManager] = {}
         self.routers: dict[str, GrantRouter] = {}
+        self.probes: dict[str, ReachProbe] = {}
         for name in DOMAINS:
             limiter = RateLimiter(clock, lambda _: owner, lambda *_: None, quiet_log(clock))
             manager = OwnershipManager(
@@ -82,7 +86,8 @@
             manager.choose_candidates(peers)
             links = {other: FakeLink(self, name, other) for other in DOMAINS if other != name}
             self.managers[name] = manager
-            self.routers[name] = GrantRouter(name, clock, manager, limiter, links)
+            self.probes[name] = ReachProbe(clock, manager, links)
+            self.routers[name] = GrantRouter(name, manager, self.probes[name], limiter, links)
 
     def is_up(self, name: str, other: str) -> bool:
         """Return whether two instances reach each other."""
