Replace a primary only as the owner that instances agree on

Cause: each of the two domains had an owner of the group. One promoted a replica that the other did not reach, which rolled back a commit that the other owner had acknowledged on the former primary. The other one found the new primary refusing connections and promoted the former one again, with that commit.

Change: a primary is replaced by the owner that instances agree on, as for the granter of a rate. The other owner serves what it reaches and replaces nothing. An order of its own that is still open is followed up in any case. Price: if the agreed owner reaches no replica, nobody promotes one until the cut ends.

Tests: test_an_owner_that_others_do_not_agree_on_replaces_no_primary failed before the change; test_instances_agree_on_one_owner_while_two_failure_domains_ are_apart checks the agreement.

--- a/godwitthread/gateway/failover.py
+++ b/godwitthread/gateway/failover.py
@@ -59,12 +59,17 @@
         clock: Clock,
         log: Log,
         order: Callable[[OrderRequest], OrderAnswer],
+        may_replace: Callable[[], bool],
     ) -> None:
         self._runner = runner
         self._replicas = ReplicaControl(runner, log)
         self._clock = clock
         self._log = log
         self._order = order
+        #: Returns whether instances agree that this one owns the group. Two owners that each do not
+        #: reach the other's primary would promote in turn, and bring back commits that were rolled
+        #: back.
+        self._may_replace = may_replace
         self._next_ms = 0
         self._unknown_since_ms = 0
         self._running = False
@@ -91,6 +96,8 @@
             self._unknown_since_ms = 0
         if reason is None or self._running or now_ms < self._next_ms:
             return
+        if not self._order_pending and not self._may_replace():
+            return
         self._running = True
         eventlet.spawn_n(self._replace, reason)
 
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -334,7 +334,13 @@
         if runner is None:
             lease = self.authority.add(name)
             runner = GroupRunner(name, self.clock, self._ports, self.log, self._admit, lease)
-            failover = Failover(runner, self.clock, self.log, self.duty_router.order)
+            failover = Failover(
+                runner,
+                self.clock,
+                self.log,
+                self.duty_router.order,
+                lambda: self.reach_probe.owner(f'group/{name}') == self.peer.name,
+            )
             self.runners[name] = runner
             self.ownership_manager.add(name, ManagedGroup(runner, failover))
         members = {each.id: each for each in self.view.members.values() if each.group == name}
--- a/tests/test_gateway/test_failover.py
+++ b/tests/test_gateway/test_failover.py
@@ -28,7 +28,12 @@
         group.promote(request.member)
         return OrderAnswer(True, False)
 
-    return group, made, failover.Failover(made, clock, quiet_log(clock), order), orders
+    return (
+        group,
+        made,
+        failover.Failover(made, clock, quiet_log(clock), order, lambda: True),
+        orders,
+    )
 
 
 def run_failover(over) -> None:
@@ -53,6 +58,23 @@
     assert made.run('a', request('WRITE i x')).receipt == 'receipt-m2'
 
 
+def test_an_owner_that_others_do_not_agree_on_replaces_no_primary(world):
+    """Guard against two owners that promote in turn while failure domains are apart.
+
+    The second promotion brings back commits that the first one had rolled back.
+    """
+    group, made, over, orders = world
+    made.run('a', request('READ i'))
+    over._may_replace = lambda: False
+    group.unreachable.add('m0')
+    made.pools['m0'].refused_since_ms = 1
+    run_failover(over)
+    assert orders == []
+    over._may_replace = lambda: True
+    run_failover(over)
+    assert len(orders) == 1
+
+
 def test_a_single_lost_answer_causes_no_failover(world):
     """Guard against a needless failover."""
     group, made, over, orders = world
@@ -156,7 +178,7 @@
         group.promote(request.member)
         return OrderAnswer(True, False)
 
-    over = failover.Failover(made, Clock(), quiet_log(Clock()), order)
+    over = failover.Failover(made, Clock(), quiet_log(Clock()), order, lambda: True)
     made.run('a', request('READ i'))
     return group, made, over, orders
 
--- a/tests/test_gateway/test_grant_router.py
+++ b/tests/test_gateway/test_grant_router.py
@@ -144,6 +144,27 @@
     assert granted[other] > 0
 
 
+def test_instances_agree_on_one_owner_while_two_failure_domains_are_apart(world):
+    """Guard against two owners that each replace the primary of the other one."""
+    owner = world.granter()
+    other = next(each for each in 'abcd' if each != DOMAINS[owner])
+    world.cut.add(frozenset((DOMAINS[owner], other)))
+    owners: list[str] = []
+    for _ in range(20):
+        world.press(STEP_MS)
+        owners = [
+            name for name, probe in world.probes.items() if probe.owner('rate/drivers') == name
+        ]
+    assert owners == [owner]
+    world.down.add(owner)
+    for _ in range(20):
+        world.press(STEP_MS)
+        owners = [
+            name for name, probe in world.probes.items() if probe.owner('rate/drivers') == name
+        ]
+    assert len(set(owners) - world.down) == 1
+
+
 def test_a_lost_granter_is_replaced(world):
     """Guard against a rate that nobody grants after the granter was lost."""
     world.down.add(world.granter())
