Press harder on the rate in the test of its bound

Cause: eight clients share 30 operations a second. A request waits up to 400 ms (MAX_RATE_WAIT_MS). With equal shares at four instances, two clients at each wait for 267 ms, so that nothing exceeds the rate; only uneven shares did.

Change: six clients at each instance, which wait for 0.8 s with equal shares. All assertions are as before, and are harder to meet for the product.

--- a/tests/test_system/test_keys_and_rates.py
+++ b/tests/test_system/test_keys_and_rates.py
@@ -25,6 +25,10 @@
     new_id,
 )
 
+#: Clients of a load that exceeds a rate of 30 per s shared by four instances: each of them would
+#: wait for 0.8 s with equal shares.
+CLIENTS_PER_INSTANCE = 6
+
 
 def test_a_withdrawn_key_stops_working_for_connected_callers(deployment):
     """Guard against keep-alive connections and transactions that remain valid without their key."""
@@ -97,7 +101,9 @@
     begun_s = time.monotonic()
     if failure == 'share owner stopped':
         pause.begin()
-    load = Load(*clients, *clients, pause_ms=5, deadline_ms=2_000)
+    # A request waits for MAX_RATE_WAIT_MS before it is refused. With equal shares, two clients at
+    # each instance would never wait for that long, so that the load would not exceed the rate.
+    load = Load(*clients * CLIENTS_PER_INSTANCE, pause_ms=5, deadline_ms=2_000)
     # Shorter than the timeout after which an unresponsive seat is removed.
     eventlet.sleep(2.2)
     pause.end()
