Reconnect after a suspension before anything is sent

Change: a link whose peer was silent for 1 s is opened again, whatever arrives then, and its calls fail as not sent. The peer waits for 0.3 s longer, one heartbeat, before it takes a connection for abandoned, so that it never drops a call on a link that its opener still uses.

--- a/godwitthread/gateway/links.py
+++ b/godwitthread/gateway/links.py
@@ -48,6 +48,9 @@
 #: Delay before the next connection after an unexpected error, in ms. It bounds the lines of log if
 #: the peer repeats the message that caused the error.
 ERROR_DELAY_MS = 1_000
+#: Time without a frame after which a peer has given up a connection that it opened, in ms. It has
+#: received no answer to a heartbeat since.
+ABANDONED_MS = PEER_TIMEOUT_MS + HEARTBEAT_MS
 #: Maximum frame size in bytes; a frame holds a line of up to 1 MiB and its metadata.
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 #: Bytes read from a socket at once.
@@ -326,7 +329,11 @@
         try:
             while (data := stream.read()) is not None:
                 frame = _frames.decode(data)
-                self._heard_ms = self._clock.now_ms()
+                now_ms, former_ms = self._clock.now_ms(), self._heard_ms
+                if self._stream is not None and now_ms - former_ms >= PEER_TIMEOUT_MS:
+                    # This process was suspended. The peer drops calls on this connection.
+                    return True
+                self._heard_ms = now_ms
                 if self._stream is None:
                     # The connection is usable once the peer has answered on it.
                     self._stream = stream
@@ -428,7 +435,7 @@
             now_ms, former_ms = clock.now_ms(), heard_ms
             heard_ms = now_ms
             frame = _frames.decode(data)
-            if now_ms - former_ms >= PEER_TIMEOUT_MS or (frame.call_id and stream.ended_by_peer):
+            if now_ms - former_ms >= ABANDONED_MS or (frame.call_id and stream.ended_by_peer):
                 # This process was suspended, or the frame was delayed. The peer, which got no
                 # heartbeat, has given up its calls and reported their outcome as unknown. A
                 # statement or an order that runs now would overwrite newer ones.
