Mark an entry as departed only if it is the process's own

Found by reading: an instance whose next process had registered already before the former one ended would have marked the entry of the running one, which counted until the instance wrote it again within 2 s.

Test: test_a_process_marks_no_entry_but_its_own failed before the change. Two more say that the mark is conditional, and that a failing store does not keep the process from ending.

--- a/godwitthread/gateway/registration.py
+++ b/godwitthread/gateway/registration.py
@@ -27,8 +27,6 @@
 #: Interval at which an instance checks that the store holds its entry, in ms. The others learn its
 #: address from the entry.
 REGISTER_MS = 2_000
-
-
 #: Time limit for marking the entry when the process ends, in ms. It leaves time for the exit within
 #: the grace period, see `shutdown.EXIT_MARGIN_MS`.
 MARK_TIMEOUT_MS = 300
@@ -94,9 +92,10 @@
 
 def mark_departed(peer: Peer, view: StoreView, ports: Ports, log: Log) -> None:
     """Mark the entry of an instance whose process ends."""
-    revision = view.row_revision(PEER_TABLE, peer.name)
-    if not revision:
+    if view.row_value(PEER_TABLE, peer.name) != encode_peer(peer):
+        # The instance is not registered, or its next process was started already.
         return
+    revision = view.row_revision(PEER_TABLE, peer.name)
     content = encode_peer(peer._replace(departed=True))
     try:
         with eventlet.Timeout(MARK_TIMEOUT_MS / 1000, False):
