End every process of a soak with its run

A process that is left over belongs to another store, and answers the peers of the next run under the name of an instance.

Cause: other green threads run while a process is started. Two restarts of one instance started two processes, and a restart during the end of a run started one that nothing ended.

--- a/tests/test_platform/world.py
+++ b/tests/test_platform/world.py
@@ -70,6 +70,8 @@
         #: Times at which statements of the rate-limited organisation were executed.
         self.small_execution_ms: list[int] = []
         self.processes: dict[int, subprocess.Popen[bytes]] = {}
+        #: Instances whose process is being started.
+        self._starting: set[int] = set()
         self.groups = [self._group(number, seed, slots) for number in range(groups)]
         self.promotion_service = PromotionEndpoint(self._promote)
         self.store_proxies = [self._store_proxy(number) for number in range(instances)]
@@ -91,18 +93,27 @@
     # Processes and configuration
 
     def start(self, number: int) -> None:
-        """Start the process of an instance."""
+        """Start the process of an instance unless another thread is starting it."""
         path = self.settings_path(number)
         path.write_text(json.dumps(self.settings(number)))
         log = (self.folder / f'node-{number}.log').open('ab')
         env = {**os.environ, 'GODWITTHREAD_CONFIG': str(path), 'EVENTLET_NO_GREENDNS': 'yes'}
-        self.processes[number] = subprocess.Popen(
+        if number in self._starting:
+            return
+        self._starting.add(number)
+        process = subprocess.Popen(
             [sys.executable, '-m', 'godwitthread.platform'],
             cwd=ROOT,
             env=env,
             stdout=log,
             stderr=log,
         )
+        self._starting.discard(number)
+        self.processes[number] = process
+        # Other green threads run while a process is started, so that the run may have ended.
+        if self.stopping:
+            process.kill()
+            process.wait()
 
     def restart(self, number: int, stop_signal: signal.Signals) -> None:
         """Stop an instance by a signal, or by SIGKILL after 6 s, and start it again."""
