--- a/godwitthread/core/indirect_reach.py
+++ b/godwitthread/core/indirect_reach.py
@@ -1,8 +1,8 @@
 """Which candidates others reach although this instance does not.
 
-Load pattern: two failure domains can't reach each other while the others reach both, and an
-organisation uses up its rate in both. Each side reaches a majority, so that neither may replace a
-granter which only the other one reaches.
+Load pattern: two failure domains can't reach each other while the others reach both. An
+organisation uses up its rate in both of them, or one of them has the primary of a group. Each side
+reaches a majority, so that neither may take over from an owner which only the other one reaches.
 """
 
 from __future__ import annotations
@@ -14,7 +14,7 @@
     from collections.abc import Collection
 
 #: Interval of the questions to others, in ms. For about that long, two instances may grant a rate
-#: after the granter was replaced or returned: a twentieth of the window of the limit.
+#: after its granter was replaced or returned: less than a twentieth of the window of the limit.
 PROBE_INTERVAL_MS = 200
 #: Time after the first question from which a missing answer is no reason to wait, in ms.
 DECISION_TIMEOUT_MS = 300
