Group modules by role before load scheduling grows

Change: dispatch, wait limits, member load and fairness move to core/scheduling/, and MemberState to a module of its own; the modules of a group move to gateway/groups/; frames, the answering side of links and the single session get modules of their own; handlers of peers' calls are registered in a table. No behaviour changes.

--- a/bench/core_shares.py
+++ b/bench/core_shares.py
@@ -12,7 +12,6 @@
 from godwitthread.core import rendezvous
 from godwitthread.core.configuration import Head
 from godwitthread.core.connection import Assign, Open
-from godwitthread.core.fairness import FairQueue
 from godwitthread.core.freshness import FreshnessState
 from godwitthread.core.invariants import Invariants
 from godwitthread.core.membership import MembershipState
@@ -21,6 +20,7 @@
 from godwitthread.core.quota import Amount, HolderId, Limit, ShareGrant, ShareRequest
 from godwitthread.core.quota_holder import ShareHolder
 from godwitthread.core.quota_owner import ShareOwner
+from godwitthread.core.scheduling.fairness import FairQueue
 from godwitthread.types import Roster, Seat
 
 if TYPE_CHECKING:
--- a/bench/gateway_control.py
+++ b/bench/gateway_control.py
@@ -10,9 +10,10 @@
 from godwitthread.address import Address
 from godwitthread.clock import Clock
 from godwitthread.core.catalog import Peer
-from godwitthread.core.dispatch import Dispatcher, MemberState, WorkItem
 from godwitthread.core.ownership import PeerReachability
 from godwitthread.core.rate_grants import RateGranter
+from godwitthread.core.scheduling.dispatch import Dispatcher
+from godwitthread.core.scheduling.member_state import MemberState, WorkItem
 from godwitthread.events import EventLog, HybridLogicalClock
 from godwitthread.gateway.logs import Log
 from godwitthread.gateway.ownership_manager import ManagedGroup, OwnershipManager
--- a/bench/slopes_connections.py
+++ b/bench/slopes_connections.py
@@ -8,10 +8,10 @@
 from bench.slopes_fit import Series, measure_series, memory_bytes, processor_us
 from bench.slopes_fixtures import CLUSTER_KEY, seats
 from godwitthread.clock import Clock
-from godwitthread.core.fairness import FairQueue
 from godwitthread.core.invariants import Invariants
 from godwitthread.core.membership_messages import Echo, Heartbeat
 from godwitthread.core.pool import Assign, ConnectionTable, Open
+from godwitthread.core.scheduling.fairness import FairQueue
 from godwitthread.events import HybridLogicalClock
 from godwitthread.instance import configuration_manager  # noqa: F401 - registers the message types
 from godwitthread.loop import eventlet
--- a/godwitthread/core/routing.py
+++ b/godwitthread/core/routing.py
@@ -7,8 +7,8 @@
 
 from godwitthread.core import history as histories
 from godwitthread.core.invariants import Promise
-from godwitthread.core.member_load import RETURN_GAP_MS, MemberLoad
 from godwitthread.core.reads import ReadChoice, ReadRequirements, ReadTarget
+from godwitthread.core.scheduling.member_load import RETURN_GAP_MS, MemberLoad
 from godwitthread.errors import ErrorKind, InvariantError, ProxyError
 
 if TYPE_CHECKING:
--- a/godwitthread/gateway/authority_manager.py
+++ b/godwitthread/gateway/authority_manager.py
@@ -27,7 +27,8 @@
 
     from godwitthread.clock import Clock
     from godwitthread.core.catalog import Peer
-    from godwitthread.gateway.links import FrameStream, Link
+    from godwitthread.gateway.frames import FrameStream
+    from godwitthread.gateway.links import Link
     from godwitthread.gateway.logs import Log
 
 #: Time limit of a request to a voter, in ms. An answer that comes later extends a lease by little.
--- a/godwitthread/gateway/failover.py
+++ b/godwitthread/gateway/groups/failover.py
@@ -13,15 +13,15 @@
     successor,
 )
 from godwitthread.errors import ErrorKind, ProxyError
+from godwitthread.gateway.groups.replica_control import ReplicaControl
 from godwitthread.gateway.promotion_duty import OrderRequest
-from godwitthread.gateway.replica_control import ReplicaControl
 from godwitthread.loop import eventlet
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from godwitthread.clock import Clock
-    from godwitthread.gateway.group_runner import GroupRunner
+    from godwitthread.gateway.groups.group_runner import GroupRunner
     from godwitthread.gateway.logs import Log
     from godwitthread.gateway.promotion_duty import OrderAnswer
     from godwitthread.types import Position
--- a/godwitthread/gateway/group_runner.py
+++ b/godwitthread/gateway/groups/group_runner.py
@@ -6,8 +6,8 @@
 
 import xxhash
 
-from godwitthread.core import wait_limits
-from godwitthread.core.dispatch import WorkItem
+from godwitthread.core.scheduling import wait_limits
+from godwitthread.core.scheduling.member_state import WorkItem
 from godwitthread.core.statements import (
     NOT_RUN,
     Action,
@@ -18,7 +18,7 @@
     failure,
 )
 from godwitthread.errors import ErrorKind
-from godwitthread.gateway.member_group import (
+from godwitthread.gateway.groups.member_group import (
     BUSY_PAUSE_MS,
     INTERNAL_TIMEOUT_MS,
     MemberGroup,
--- a/godwitthread/gateway/member_group.py
+++ b/godwitthread/gateway/groups/member_group.py
@@ -7,13 +7,14 @@
 import logging
 from typing import TYPE_CHECKING
 
-from godwitthread.core import wait_limits
-from godwitthread.core.dispatch import Dispatcher, MemberState, WorkItem
 from godwitthread.core.position_evidence import PositionEvidence
+from godwitthread.core.scheduling import wait_limits
+from godwitthread.core.scheduling.dispatch import Dispatcher
+from godwitthread.core.scheduling.member_state import MemberState, WorkItem
 from godwitthread.core.statements import NOT_RUN, Refusal, Reply, Result, RunRequest, failure
 from godwitthread.core.write_authority import Succession
 from godwitthread.errors import ErrorKind
-from godwitthread.gateway.member_pool import MemberPool
+from godwitthread.gateway.groups.member_pool import MemberPool
 from godwitthread.gateway.ports import NotConnectedError
 from godwitthread.loop import eventlet
 
--- a/godwitthread/gateway/replica_control.py
+++ b/godwitthread/gateway/groups/replica_control.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from godwitthread.gateway.group_runner import GroupRunner
+    from godwitthread.gateway.groups.group_runner import GroupRunner
     from godwitthread.gateway.logs import Log
     from godwitthread.gateway.ports import Connection, MemberStatus
 
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
-from godwitthread.core import wait_limits
 from godwitthread.core.ownership import PeerReachability
+from godwitthread.core.scheduling import wait_limits
 from godwitthread.core.shutdown import Phase
 from godwitthread.core.statements import (
     Action,
@@ -19,15 +19,17 @@
     unknown_outcome,
 )
 from godwitthread.errors import ErrorKind, ProxyError
-from godwitthread.gateway import links
+from godwitthread.gateway import link_server, links
 from godwitthread.gateway.authority_manager import AuthorityManager, ClaimRequest
 from godwitthread.gateway.duty_router import DutyRouter
-from godwitthread.gateway.failover import Failover
+from godwitthread.gateway.frames import FrameStream, HeartbeatStatus, Hello
 from godwitthread.gateway.grant_router import GrantRouter
-from godwitthread.gateway.group_runner import TICK_MS, GroupRunner
+from godwitthread.gateway.groups.failover import Failover
+from godwitthread.gateway.groups.group_runner import TICK_MS, GroupRunner
 from godwitthread.gateway.isolation import run_all, traceback_logger
-from godwitthread.gateway.links import HeartbeatStatus, Hello, Link
+from godwitthread.gateway.links import Link
 from godwitthread.gateway.ownership_manager import ManagedGroup, OwnershipManager
+from godwitthread.gateway.peer_calls import PeerCalls
 from godwitthread.gateway.peer_eviction import PeerEviction
 from godwitthread.gateway.peer_sync import ViewRequest
 from godwitthread.gateway.promotion_duty import OrderRequest, PromotionDuty
@@ -59,13 +61,7 @@
 MINORITY_GRACE_MS = 400
 
 
-_run_requests = msgspec.msgpack.Decoder(RunRequest)
 _results = msgspec.msgpack.Decoder(Result)
-_grant_requests = msgspec.msgpack.Decoder(GrantRequest)
-_reach_requests = msgspec.msgpack.Decoder(ReachRequest)
-_order_requests = msgspec.msgpack.Decoder(OrderRequest)
-_claim_requests = msgspec.msgpack.Decoder(ClaimRequest)
-_view_requests = msgspec.msgpack.Decoder(ViewRequest)
 
 
 class Node:
@@ -79,7 +75,7 @@
         #: Whether the instance is shutting down.
         self.leaving = False
         #: Streams of the peers that have a link to this instance.
-        self.inbound: set[links.FrameStream] = set()
+        self.inbound: set[FrameStream] = set()
         #: Number of statements of peers that run at this instance.
         self.peer_statements = 0
         self._ports = ports
@@ -124,6 +120,7 @@
             self._on_lease_granted,
             log,
         )
+        self.calls = self._call_handlers()
         self._threads: list[Any] = []
         self._organisations: dict[str, Organisation] = {}
         self._eviction = PeerEviction(clock, ports, log, self.view.row_revision)
@@ -160,7 +157,7 @@
     def leave(self) -> None:
         """Stop owning groups and accepting sessions."""
         self.leaving = True
-        links.broadcast_heartbeat(self.inbound, self.heartbeat_status())
+        link_server.broadcast_heartbeat(self.inbound, self.heartbeat_status())
         self.ownership_manager.reconcile()
 
     def depart(self) -> None:
@@ -169,7 +166,7 @@
         mark_departed(self.peer, self.view, self._ports, self.log)
         # A peer that connects before the announcement would take the process for a running one, so
         # that it is sent at the very end.
-        links.broadcast_departure(self.inbound)
+        link_server.broadcast_departure(self.inbound)
         eventlet.sleep(0)
 
     def ready(self) -> bool:
@@ -280,24 +277,27 @@
 
     def handle(self, sender: str, kind: str, body: msgspec.Raw) -> Any:
         """Answer a call of a peer; raise ProxyError."""
-        if kind == 'run':
-            self.peer_statements += 1
-            try:
-                return self._run_here(sender, _run_requests.decode(body))
-            finally:
-                self.peer_statements -= 1
-        if kind == 'grant':
-            return self.grant_router.answer(_grant_requests.decode(body))
-        if kind == 'reach':
-            return self.reach_probe.answer(_reach_requests.decode(body))
-        if kind == 'order':
-            return self.duty_router.answer(_order_requests.decode(body))
-        if kind == 'claim':
-            holder = sender.rpartition('/')[0]
-            return self.authority.answer(holder, _claim_requests.decode(body))
-        if kind == 'view':
-            return self.store_sync.peers.answer(_view_requests.decode(body))
-        raise ProxyError(ErrorKind.NOT_FOUND, f'no handler for {kind}')
+        return self.calls.answer(sender, kind, body)
+
+    def _call_handlers(self) -> PeerCalls:
+        calls = PeerCalls()
+        calls.add('run', RunRequest, self._run_for_peer)
+        calls.add('grant', GrantRequest, lambda _, req: self.grant_router.answer(req))
+        calls.add('reach', ReachRequest, lambda _, req: self.reach_probe.answer(req))
+        calls.add('order', OrderRequest, lambda _, req: self.duty_router.answer(req))
+        calls.add('claim', ClaimRequest, self._answer_claim)
+        calls.add('view', ViewRequest, lambda _, req: self.store_sync.peers.answer(req))
+        return calls
+
+    def _run_for_peer(self, sender: str, req: RunRequest) -> Result:
+        self.peer_statements += 1
+        try:
+            return self._run_here(sender, req)
+        finally:
+            self.peer_statements -= 1
+
+    def _answer_claim(self, sender: str, req: ClaimRequest) -> Any:
+        return self.authority.answer(sender.rpartition('/')[0], req)
 
     def peer_ended(self, sender: str) -> None:
         """Roll back the open transactions of a peer whose connection ended."""
@@ -429,7 +429,7 @@
         reached = bool(self._links) and all(link.up for link in self._links.values())
         if reached or now_ms - self._peers_known_ms >= OWNERSHIP_START_DELAY_MS:
             self._ready_to_own = True
-            links.broadcast_heartbeat(self.inbound, self.heartbeat_status())
+            link_server.broadcast_heartbeat(self.inbound, self.heartbeat_status())
 
     def _end_sessions_in_minority(self) -> None:
         """End idle sessions while this instance reaches no majority of the candidates."""
--- a/godwitthread/gateway/ownership_manager.py
+++ b/godwitthread/gateway/ownership_manager.py
@@ -7,8 +7,8 @@
 from godwitthread.core import ownership
 from godwitthread.core.indirect_reach import IndirectReach
 from godwitthread.core.write_authority import MAX_VOTERS
-from godwitthread.gateway.failover import Failover
-from godwitthread.gateway.group_runner import GroupRunner
+from godwitthread.gateway.groups.failover import Failover
+from godwitthread.gateway.groups.group_runner import GroupRunner
 from godwitthread.loop import eventlet
 
 if TYPE_CHECKING:
--- a/godwitthread/gateway/store_sync.py
+++ b/godwitthread/gateway/store_sync.py
@@ -30,7 +30,8 @@
     from typing import Any
 
     from godwitthread.clock import Clock
-    from godwitthread.gateway.links import FrameStream, Link
+    from godwitthread.gateway.frames import FrameStream
+    from godwitthread.gateway.links import Link
     from godwitthread.gateway.logs import Log
     from godwitthread.gateway.ports import Store
     from godwitthread.gateway.store_view import StoreView
--- a/godwitthread/instance/member_pool.py
+++ b/godwitthread/instance/member_pool.py
@@ -5,8 +5,8 @@
 import contextlib
 from typing import TYPE_CHECKING, Any
 
-from godwitthread.core.fairness import FairQueue
 from godwitthread.core.pool import Assign, Close, ConnectionTable, Open, Refuse, Reset
+from godwitthread.core.scheduling.fairness import FairQueue
 from godwitthread.errors import ErrorKind, ProxyError
 from godwitthread.loop import eventlet
 
--- a/godwitthread/platform/caller_connection.py
+++ b/godwitthread/platform/caller_connection.py
@@ -8,7 +8,7 @@
 
 from godwitthread.core.statements import TxState
 from godwitthread.errors import ErrorKind
-from godwitthread.gateway.sessions import CallerPort
+from godwitthread.gateway.session import CallerPort
 from godwitthread.platform.line_protocol import (
     MAX_LINE_BYTES,
     LineReader,
@@ -23,7 +23,8 @@
     import socket
 
     from godwitthread.core.statements import Result
-    from godwitthread.gateway.sessions import Session, Sessions
+    from godwitthread.gateway.session import Session
+    from godwitthread.gateway.sessions import Sessions
 
 logger = logging.getLogger(__name__)
 
--- a/godwitthread/platform/gateway_process.py
+++ b/godwitthread/platform/gateway_process.py
@@ -17,7 +17,7 @@
 from godwitthread.core.catalog import Peer
 from godwitthread.errors import ProxyError
 from godwitthread.events import EventLog, HybridLogicalClock
-from godwitthread.gateway import links
+from godwitthread.gateway import link_server
 from godwitthread.gateway.logs import Log
 from godwitthread.gateway.metrics import Metrics
 from godwitthread.gateway.node import Node
@@ -149,7 +149,7 @@
 
     def _serve_peer(self, sock: Any) -> None:
         node = self.node
-        links.serve(
+        link_server.serve(
             sock,
             self.clock,
             node.inbound,
--- a/tests/test_gateway/fakes.py
+++ b/tests/test_gateway/fakes.py
@@ -17,7 +17,7 @@
 )
 from godwitthread.core.write_authority import Succession
 from godwitthread.events import EventLog, HybridLogicalClock
-from godwitthread.gateway.group_runner import GroupRunner
+from godwitthread.gateway.groups.group_runner import GroupRunner
 from godwitthread.gateway.logs import Log
 from godwitthread.gateway.ports import (
     MemberStatus,
--- a/tests/test_gateway/test_dispatch.py
+++ b/tests/test_gateway/test_dispatch.py
@@ -5,10 +5,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from godwitthread.core.dispatch import (
+from godwitthread.core.scheduling.dispatch import Dispatcher
+from godwitthread.core.scheduling.member_state import (
     EXTRA_IN_FLIGHT,
     INITIAL_LAG_MS,
-    Dispatcher,
     MemberState,
     WorkItem,
 )
--- a/tests/test_gateway/test_failover.py
+++ b/tests/test_gateway/test_failover.py
@@ -8,7 +8,7 @@
 from godwitthread.clock import Clock
 from godwitthread.core.statements import Action, Consistency, Refusal
 from godwitthread.errors import ErrorKind, ProxyError
-from godwitthread.gateway import failover
+from godwitthread.gateway.groups import failover
 from godwitthread.gateway.promotion_duty import OrderAnswer
 from godwitthread.types import Position
 from tests.test_gateway.fakes import GROUP, FakeGroup, members, quiet_log, request, runner
--- a/tests/test_gateway/test_group_runner.py
+++ b/tests/test_gateway/test_group_runner.py
@@ -10,7 +10,7 @@
 from godwitthread.core.statements import Action, Consistency, Prepared, Refusal, TxState
 from godwitthread.core.write_authority import Succession
 from godwitthread.errors import ErrorKind
-from godwitthread.gateway import group_runner
+from godwitthread.gateway.groups import group_runner
 from godwitthread.types import Position
 from tests.test_gateway.fakes import (
     GROUP,
--- a/tests/test_gateway/test_links.py
+++ b/tests/test_gateway/test_links.py
@@ -13,8 +13,9 @@
 from godwitthread.core.departure import DEPARTURE_DELAY_MS
 from godwitthread.core.table_freshness import TableReports
 from godwitthread.errors import ErrorKind, ProxyError
-from godwitthread.gateway import links
-from godwitthread.gateway.links import HeartbeatStatus, Hello, Link
+from godwitthread.gateway import frames, link_server, links
+from godwitthread.gateway.frames import HeartbeatStatus, Hello
+from godwitthread.gateway.links import Link
 
 
 class Listener:
@@ -25,7 +26,7 @@
         self.sock.bind(('127.0.0.1', 0))
         self.sock.listen(8)
         self.handler = handler
-        self.inbound: set[links.FrameStream] = set()
+        self.inbound: set[frames.FrameStream] = set()
         self.ended: list[str] = []
         self.heartbeat_status = HeartbeatStatus(False, True)
         self.report = lambda stream, echo_ms: None
@@ -40,7 +41,7 @@
         while True:
             conn, _ = self.sock.accept()
             eventlet.spawn_n(
-                links.serve, conn, Clock(lambda: self.time_s), self.inbound,
+                link_server.serve, conn, Clock(lambda: self.time_s), self.inbound,
                 lambda: self.heartbeat_status, self._handle,
                 self.ended.append, lambda *args: self.report(*args),
             )  # fmt: skip
@@ -128,7 +129,7 @@
     changes: list[bool] = []
     link = connected(listener, changes)
     listener.heartbeat_status = HeartbeatStatus(True, True)
-    links.broadcast_heartbeat(listener.inbound, listener.heartbeat_status)
+    link_server.broadcast_heartbeat(listener.inbound, listener.heartbeat_status)
     for _ in range(20):
         eventlet.sleep(0.005)
         if link.reach().leaving:
@@ -160,7 +161,7 @@
     link = connected(listener, [])
     time_s = [100.0]
     link._clock = Clock(lambda: time_s[0])
-    links.broadcast_departure(listener.inbound)
+    link_server.broadcast_departure(listener.inbound)
     eventlet.sleep(0.05)
     assert link.announced_end
     assert not link.reach().departed
@@ -176,8 +177,8 @@
 
 def test_an_older_build_ends_the_link_at_the_announcement():
     """Guard against an older build that takes the announcement for a heartbeat."""
-    frame = msgspec.msgpack.encode((0, links.DEPARTED, None))
-    body = msgspec.msgpack.decode(frame, type=links.Frame).body
+    frame = msgspec.msgpack.encode((0, frames.DEPARTED, None))
+    body = msgspec.msgpack.decode(frame, type=frames.Frame).body
     with pytest.raises(msgspec.DecodeError):
         msgspec.msgpack.decode(body, type=HeartbeatStatus)
 
@@ -216,10 +217,10 @@
     listener = Listener(lambda sender, kind, body: executed.append(kind))
     near = send_frames(listener, (1, 'before', None))
     eventlet.sleep(0.05)
-    listener.time_s += (links.ABANDONED_MS - 1) / 1000
+    listener.time_s += (link_server.ABANDONED_MS - 1) / 1000
     near.sendall(frame_bytes((2, 'later', None)))
     eventlet.sleep(0.05)
-    listener.time_s += links.ABANDONED_MS / 1000
+    listener.time_s += link_server.ABANDONED_MS / 1000
     near.sendall(frame_bytes((3, 'too late', None)))
     eventlet.sleep(0.05)
     assert executed == ['before', 'later']
@@ -238,7 +239,7 @@
     link._heard_ms = link._clock.now_ms()
     time_s[0] += links.PEER_TIMEOUT_MS / 1000
     # The answers to its former heartbeats wait in the buffer of the socket.
-    links.broadcast_heartbeat(listener.inbound, listener.heartbeat_status)
+    link_server.broadcast_heartbeat(listener.inbound, listener.heartbeat_status)
     eventlet.sleep(0.02)
     assert changes[-1] is False
     with pytest.raises(ProxyError) as info:
@@ -248,20 +249,20 @@
     link.stop()
 
 
-def frames_from(listener: Listener, report, heartbeat: tuple) -> list[links.Frame]:
+def frames_from(listener: Listener, report, heartbeat: tuple) -> list[frames.Frame]:
     """Return the frames that answer a heartbeat, the last of which answers a call."""
     near, far = socket.socket(), listener.sock
     near.connect(far.getsockname())
-    stream = links.FrameStream(near)
+    stream = frames.FrameStream(near)
     listener.report = report
     stream.send_raw(msgspec.msgpack.encode(Hello('a', 1)))
-    stream.send(0, links.HEARTBEAT, heartbeat)
+    stream.send(0, frames.HEARTBEAT, heartbeat)
     stream.send(7, 'echo', 1)
-    frames = []
-    while not frames or frames[-1].call_id == 0:
-        frames.append(msgspec.msgpack.decode(stream.read(), type=links.Frame))
+    received: list[frames.Frame] = []
+    while not received or received[-1].call_id == 0:
+        received.append(msgspec.msgpack.decode(stream.read(), type=frames.Frame))
     stream.release()
-    return frames
+    return received
 
 
 def test_a_build_without_reports_receives_none():
@@ -269,12 +270,12 @@
     listener = Listener(lambda sender, kind, body: 1)
     reports = TableReports(5, ())
     for heartbeat in ((False, True, 0), (False, True, 0, 5, 'unknown')):
-        frames = frames_from(listener, lambda *_: reports, heartbeat)
-        assert [(frame.kind, bytes(frame.body)) for frame in frames[:-1]] == [
-            (links.HEARTBEAT, msgspec.msgpack.encode((False, True, 0)))
+        received = frames_from(listener, lambda *_: reports, heartbeat)
+        assert [(frame.kind, bytes(frame.body)) for frame in received[:-1]] == [
+            (frames.HEARTBEAT, msgspec.msgpack.encode((False, True, 0)))
         ]
-    frames = frames_from(listener, lambda *_: reports, (False, True, 0, 5))
-    assert [frame.kind for frame in frames[:-1]] == [links.HEARTBEAT, links.TABLE_REPORTS]
+    received = frames_from(listener, lambda *_: reports, (False, True, 0, 5))
+    assert [frame.kind for frame in received[:-1]] == [frames.HEARTBEAT, frames.TABLE_REPORTS]
 
 
 def test_reports_reach_the_other_end():
@@ -337,7 +338,7 @@
     call = eventlet.spawn(link.call, 'echo', 1, 500)
     eventlet.sleep(0)
     (inbound,) = listener.inbound
-    inbound.send(-max(link._waiting), links.FAILED, ('later_kind', 'scripted'))
+    inbound.send(-max(link._waiting), frames.FAILED, ('later_kind', 'scripted'))
     with pytest.raises(ProxyError) as info:
         call.wait()
     assert info.value.kind is ErrorKind.CONNECTION_LOST
@@ -352,7 +353,7 @@
     call = eventlet.spawn(link.call, 'echo', 1, 500)
     eventlet.sleep(0)
     (inbound,) = listener.inbound
-    inbound.send(-max(link._waiting), links.FAILED, body)
+    inbound.send(-max(link._waiting), frames.FAILED, body)
     with pytest.raises(ProxyError) as info:
         call.wait()
     assert info.value.kind is ErrorKind.CONNECTION_LOST
--- a/tests/test_gateway/test_wait_limits.py
+++ b/tests/test_gateway/test_wait_limits.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from godwitthread.core import wait_limits
+from godwitthread.core.scheduling import wait_limits
 
 
 def test_a_statement_waits_during_a_change_of_the_owner():
--- a/tests/test_limits/test_fairness.py
+++ b/tests/test_limits/test_fairness.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from godwitthread.core.fairness import INITIAL_HOLD_MS, FairQueue, Popped, Refusal
+from godwitthread.core.scheduling.fairness import INITIAL_HOLD_MS, FairQueue, Popped, Refusal
 
 FAR_MS = 1_000_000
 STEPS = st.lists(
--- a/tests/test_platform/test_shutdown.py
+++ b/tests/test_platform/test_shutdown.py
@@ -12,8 +12,8 @@
 from godwitthread.clock import Clock
 from godwitthread.core.shutdown import Phase
 from godwitthread.core.statements import Action, Result, RunRequest
-from godwitthread.gateway import links
-from godwitthread.gateway.links import FrameStream
+from godwitthread.gateway import frames, link_server, links
+from godwitthread.gateway.frames import FrameStream
 from godwitthread.gateway.sessions import Sessions
 from godwitthread.gateway.shutdown import POLL_INTERVAL_MS
 from godwitthread.platform import caller_connection, settings
@@ -343,7 +343,7 @@
     instance.wait_until_stopped()
     data = FrameStream(near).read()
     assert data is not None
-    assert links._statuses.decode(links._frames.decode(data).body).leaving
+    assert links._statuses.decode(frames.decoder.decode(data).body).leaving
 
 
 def test_an_answer_to_a_peer_is_sent_before_the_process_ends(instance):
@@ -367,7 +367,7 @@
 
     node.runners['orders'] = Runner()
     eventlet.spawn(
-        links.serve,
+        link_server.serve,
         far,
         node.clock,
         node.inbound,
@@ -376,14 +376,14 @@
         node.peer_ended,
     )
     peer = FrameStream(near)
-    peer.send_raw(links._encoder.encode(links.Hello('peer', 1)))
+    peer.send_raw(frames.encoder.encode(frames.Hello('peer', 1)))
     peer.send(7, 'run', RunRequest(Action.SINGLE, 1, 'orders', 'o', '1', 'WRITE a x'))
     eventlet.sleep(0.05)
     instance.shut_down()
     instance.advance(1_000)
     instance.released.send()
     instance.wait_until_stopped()
-    frames = []
+    received = []
     while data := peer.read():
-        frames.append(links._frames.decode(data))
-    assert -7 in [frame.call_id for frame in frames]
+        received.append(frames.decoder.decode(data))
+    assert -7 in [frame.call_id for frame in received]
--- a/tests/test_system/gateways.py
+++ b/tests/test_system/gateways.py
@@ -8,7 +8,7 @@
 from godwitthread.address import Address
 from godwitthread.clock import Clock
 from godwitthread.core.catalog import Peer
-from godwitthread.gateway import links
+from godwitthread.gateway import link_server
 from godwitthread.gateway.metrics import Metrics
 from godwitthread.gateway.node import Node
 from godwitthread.gateway.ports import Ports, PromotionResult
@@ -190,7 +190,7 @@
     while True:
         conn, _ = sock.accept()
         eventlet.spawn_n(
-            links.serve,
+            link_server.serve,
             conn,
             node.clock,
             node.inbound,
--- a/tests/test_system/test_gateway_configuration.py
+++ b/tests/test_system/test_gateway_configuration.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from godwitthread.gateway.group_runner import GroupRunner
+from godwitthread.gateway.groups.group_runner import GroupRunner
 from godwitthread.loop import eventlet
 from tests.test_system.gateways import GROUP, GatewayDeployment, wait_until
 
