--- /dev/null
+++ b/godwitthread/gateway/groups/transaction_runner.py
@@ -0,0 +1,170 @@
+"""Execution of transactions at the instance that owns a group."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from godwitthread.core.statements import (
+    NOT_RUN,
+    Action,
+    Consistency,
+    Refusal,
+    Reply,
+    Result,
+    failure,
+)
+from godwitthread.errors import ErrorKind
+from godwitthread.gateway.groups.member_group import BUSY_PAUSE_MS, INTERNAL_TIMEOUT_MS
+from godwitthread.gateway.groups.statement_runner import UNCONFIRMED, StatementRunner, success
+from godwitthread.gateway.ports import Connection
+from godwitthread.loop import eventlet
+
+if TYPE_CHECKING:
+    from godwitthread.clock import Clock
+    from godwitthread.core.statements import RunRequest
+    from godwitthread.gateway.logs import Log
+    from godwitthread.gateway.ports import Ports, PrimaryLease
+
+
+class OpenTransaction(NamedTuple):
+    """Open transaction of a session."""
+
+    conn: Connection
+    member: str
+    #: Whether it was begun on the primary, so that its answers are evidence of its position.
+    on_primary: bool
+    #: Epoch of the group in which it was begun.
+    epoch: int
+
+
+class TransactionRunner(StatementRunner):
+    """Execute transactions on the members of one group."""
+
+    def __init__(
+        self, name: str, clock: Clock, ports: Ports, log: Log, lease: PrimaryLease
+    ) -> None:
+        super().__init__(name, clock, ports, log, lease)
+        self._transactions: dict[tuple[str, int], OpenTransaction] = {}
+        #: Connections of transactions in which a statement is running.
+        self._busy: set[Connection] = set()
+
+    def open_transactions(self, member_id: str) -> int:
+        """Return the number of transactions open on a member."""
+        return sum(tx.member == member_id for tx in self._transactions.values())
+
+    def end_transactions(self, member_id: str) -> None:
+        """Roll back the transactions open on a member."""
+        for key, tx in list(self._transactions.items()):
+            if tx.member == member_id:
+                self._end_transaction(key, tx, clean=False)
+
+    def end_idle_transactions(self) -> None:
+        """Roll back the transactions in which no statement is running."""
+        for key, tx in list(self._transactions.items()):
+            if tx.conn not in self._busy:
+                self._end_transaction(key, tx, clean=False)
+
+    def end_sender(self, sender: str) -> None:
+        """Roll back the transactions of a peer connection that has ended."""
+        for key, tx in list(self._transactions.items()):
+            if key[0] == sender:
+                self._end_transaction(key, tx, clean=False)
+
+    def _in_transaction(self, sender: str, req: RunRequest, deadline_ms: int) -> Result:
+        key = (sender, req.session)
+        tx = self._transactions.get(key)
+        if tx is not None and req.first:
+            # The session lost its link and started over; its earlier transaction must not go on.
+            self._end_transaction(key, tx, clean=False)
+            tx = None
+        if tx is None:
+            if not req.first:
+                return failure(ErrorKind.TRANSACTION_LOST, 'the transaction ended', ended=True)
+            begun = self._begin(req, deadline_ms)
+            if isinstance(begun, Result):
+                return begun
+            tx = self._transactions[key] = begun
+        commit = req.action is Action.COMMIT
+        self._busy.add(tx.conn)
+        try:
+            sent_ms, reply = self._run_in(tx, req, deadline_ms, commit)
+        finally:
+            self._busy.discard(tx.conn)
+        tx.conn.used_ms = self._clock.now_ms()
+        if tx.on_primary and reply.refusal is None and not self.may_acknowledge(tx.epoch):
+            reply = Reply(refusal=Refusal.LOST, message=UNCONFIRMED)
+        if reply.refusal is not None:
+            return self._fail_transaction(key, tx, reply, commit)
+        if tx.on_primary:
+            self._record_evidence(tx.member, sent_ms, tx.epoch, reply)
+        if commit:
+            self._end_transaction(key, tx, clean=True, ended=True)
+        return success(reply)._replace(ended=commit)
+
+    def _run_in(
+        self, tx: OpenTransaction, req: RunRequest, deadline_ms: int, commit: bool
+    ) -> tuple[int, Reply]:
+        """Execute a statement of a transaction; repeat it while the member refuses it as busy."""
+        while True:
+            sent_ms = self._clock.now_ms()
+            state = self.dispatcher.members.get(tx.member)
+            if state is not None:
+                state.record_sent(sent_ms)
+            if commit:
+                reply = tx.conn.run(req.statement_id, req.text, self._left_ms(deadline_ms))
+            else:
+                reply = self._statement(tx.conn, req, deadline_ms, None)
+            self._record_result(tx.member, sent_ms, reply)
+            busy = reply.refusal is Refusal.BUSY and not tx.conn.closed
+            if not busy or self._clock.now_ms() + BUSY_PAUSE_MS >= deadline_ms:
+                return sent_ms, reply
+            eventlet.sleep(BUSY_PAUSE_MS / 1000)
+
+    def _fail_transaction(
+        self, key: tuple[str, int], tx: OpenTransaction, reply: Reply, commit: bool
+    ) -> Result:
+        assert reply.refusal is not None
+        self._end_transaction(key, tx, clean=False)
+        if reply.refusal is Refusal.READ_ONLY and tx.on_primary:
+            self._on_leadership_lost(tx.member)
+        if commit and reply.refusal not in NOT_RUN:
+            return failure(ErrorKind.COMMIT_UNKNOWN, 'the commit was not confirmed', ended=True)
+        reason = f'rolled back: {reply.refusal.value}'
+        return failure(ErrorKind.TRANSACTION_LOST, reason, ended=True)
+
+    def _begin(self, req: RunRequest, deadline_ms: int) -> OpenTransaction | Result:
+        hold_ms = self._hold_until(req)
+        while True:
+            on_primary = not req.read_only or req.consistency is Consistency.PRIMARY
+            required = None if on_primary else self._required(req)
+            on_primary = on_primary or required is None
+            granted = self._acquire(req, required, min(hold_ms, deadline_ms), primary=on_primary)
+            if isinstance(granted, Result):
+                return granted
+            with self._release_slot_on_error(granted):
+                conn = self._connect(granted, req, deadline_ms)
+                if conn is None:
+                    continue
+                sent_ms, epoch = self._clock.now_ms(), self.epoch
+                reply = conn.begin(not on_primary, required, self._left_ms(deadline_ms))
+            # BEGIN takes no slot, so its duration is no measure of the member's service time.
+            self._record_result(granted, sent_ms, reply, timed=False)
+            if reply.refusal is None:
+                if on_primary:
+                    self._record_evidence(granted, sent_ms, epoch, reply)
+                return OpenTransaction(conn, granted, on_primary, epoch)
+            self._release(granted, conn)
+            self._on_not_run(granted, reply)
+
+    def _end_transaction(
+        self, key: tuple[str, int], tx: OpenTransaction, *, clean: bool, ended: bool = False
+    ) -> None:
+        """End a transaction; close its connection unless that is known to be reusable."""
+        if self._transactions.get(key) is tx:
+            del self._transactions[key]
+        if clean and not ended and not tx.conn.closed:
+            reply = tx.conn.rollback(INTERNAL_TIMEOUT_MS)
+            clean = reply.refusal is None
+        if not clean:
+            tx.conn.close()
+        self._release(tx.member, tx.conn)
