--- a/godwitthread/core/scheduling/dispatch.py
+++ b/godwitthread/core/scheduling/dispatch.py
@@ -87,6 +87,7 @@
                 continue
             del self._waiting[work.number]
             member.record_sent(now_ms)
+            member.reserve_connection(work.organisation)
             assigned.append(Assignment(work, member.id))
             if not member.can_accept(now_ms):
                 del free[member.id]
--- a/godwitthread/core/scheduling/member_state.py
+++ b/godwitthread/core/scheduling/member_state.py
@@ -82,6 +82,9 @@
         self.setup_ms = INITIAL_SETUP_MS
         #: Returns whether an organisation has an idle open connection.
         self.has_connection: Callable[[str], bool] = lambda _: False
+        #: Returns whether a connection can be had now, and reserves one for an organisation.
+        self.has_room: Callable[[], bool] = lambda: True
+        self.reserve_connection: Callable[[str], None] = lambda _: None
         self.paused_until_ms = 0
         #: Number of consecutive failures.
         self.failures = 0
@@ -100,7 +103,7 @@
             return False
         if now_ms < self.cold_until_ms and self.cold_rate > 0 and now_ms < self._cold_next_send_ms:
             return False
-        return self.load(now_ms) < self.slots + EXTRA_IN_FLIGHT
+        return self.load(now_ms) < self.slots + EXTRA_IN_FLIGHT and self.has_room()
 
     @property
     def running(self) -> int:
@@ -161,6 +164,11 @@
         if position is not None and (self.position is None or position > self.position):
             self.position = position
 
+    def record_not_sent(self, now_ms: int) -> None:
+        """Record that the member accepted no connection for a statement, which is no failure."""
+        self._remove(None)
+        self.record_contact(now_ms)
+
     def record_failure(self, now_ms: int, started_ms: int | None = None) -> None:
         """Record a failed statement or connection, and back off from the member."""
         self._remove(started_ms)
--- a/godwitthread/gateway/groups/group_runner.py
+++ b/godwitthread/gateway/groups/group_runner.py
@@ -177,7 +177,7 @@
             if isinstance(granted, Result):
                 return granted
             with self._release_slot_on_error(granted):
-                conn = self._connect(granted, req, deadline_ms)
+                conn = self._connect(granted, req)
                 if conn is None:
                     continue
                 sent_ms, epoch = self._clock.now_ms(), self.epoch
@@ -286,7 +286,7 @@
         answers.put((member_id, reply))
 
     def _try_read(self, work: WorkItem, member_id: str, req: RunRequest, deadline_ms: int) -> Reply:
-        conn = self._connect(member_id, req, deadline_ms)
+        conn = self._connect(member_id, req)
         if conn is None:
             return Reply(refusal=Refusal.UNREACHABLE)
         sent_ms, epoch = self._clock.now_ms(), self.epoch
@@ -383,7 +383,7 @@
             if isinstance(granted, Result):
                 return granted
             with self._release_slot_on_error(granted):
-                conn = self._connect(granted, req, deadline_ms)
+                conn = self._connect(granted, req)
                 if conn is None:
                     continue
                 sent_ms, epoch = self._clock.now_ms(), self.epoch
--- a/godwitthread/gateway/groups/member_group.py
+++ b/godwitthread/gateway/groups/member_group.py
@@ -8,7 +8,6 @@
 from typing import TYPE_CHECKING
 
 from godwitthread.core.position_evidence import PositionEvidence
-from godwitthread.core.scheduling import wait_limits
 from godwitthread.core.scheduling.dispatch import Dispatcher
 from godwitthread.core.scheduling.member_state import MemberState, WorkItem
 from godwitthread.core.statements import NOT_RUN, Refusal, Reply, Result, RunRequest, failure
@@ -97,7 +96,7 @@
             state = self.dispatcher.members[member_id]
             state.usable = not member.draining and member.failure_domain not in evacuated_domains
             state.cold_rate = group.cold_rate
-            self.pools[member_id].limit = group.connection_limit
+            self.pools[member_id].set_limit(group.connection_limit)
         for member_id in self.members.keys() - members.keys():
             self._drop(member_id)
         self.members = dict(members)
@@ -173,6 +172,7 @@
             conn = pool.acquire(organisation, {}, INTERNAL_TIMEOUT_MS)
         except NotConnectedError as exc:
             self._log.failure('evidence_not_renewed', member=member_id, reason=exc.refusal.value)
+            self.dispatch_waiting()
             return False
         reply = conn.begin(False, None, INTERNAL_TIMEOUT_MS)
         if reply.refusal is not Refusal.LOST:
@@ -225,6 +225,9 @@
             if event is not None:
                 event.send(assignment.member)
         next_ms = self.dispatcher.next_change_ms(now_ms)
+        if next_ms is not None:
+            room_ms = [pool.next_room_ms() for pool in self.pools.values()]
+            next_ms = min([next_ms, *(each for each in room_ms if each is not None)])
         if next_ms is None or (self._timer is not None and self._timer_ms <= next_ms):
             return
         if self._timer is not None:
@@ -258,19 +261,21 @@
         text = 'no primary' if work.primary and not self.dispatcher.primary else 'no member is free'
         return failure(ErrorKind.BACKEND_UNAVAILABLE, text, BUSY_PAUSE_MS, True)
 
-    def _connect(self, member_id: str, req: RunRequest, deadline_ms: int) -> Connection | None:
+    def _connect(self, member_id: str, req: RunRequest) -> Connection | None:
+        """Return the connection reserved for a statement; None if it is to wait again."""
         pool = self.pools.get(member_id)
         try:
             if pool is None:
                 raise NotConnectedError(Refusal.UNREACHABLE, 'the member was removed')
-            left_ms = wait_limits.max_wait_ms(self._left_ms(deadline_ms))
-            return pool.acquire(req.organisation, dict(req.values), left_ms)
+            return pool.acquire_reserved(req.organisation, dict(req.values))
         except NotConnectedError as exc:
             self._log.failure(
                 'connection_refused', member=member_id, reason=exc.refusal.value, detail=str(exc)
             )
             state = self.dispatcher.members.get(member_id)
-            if state is not None:
+            if state is not None and exc.refusal is Refusal.TOO_MANY:
+                state.record_not_sent(self._clock.now_ms())
+            elif state is not None:
                 state.record_failure(self._clock.now_ms())
             self.dispatch_waiting()
             return None
@@ -292,8 +297,8 @@
         self.dispatch_waiting()
 
     def _finish(self, member_id: str, conn: Connection, sent_ms: int, reply: Reply) -> None:
+        self._return_to_pool(member_id, conn)
         self._record_result(member_id, sent_ms, reply)
-        self._release(member_id, conn)
 
     def _record_result(
         self, member_id: str, sent_ms: int, reply: Reply, timed: bool = True
@@ -310,6 +315,10 @@
         self.dispatch_waiting()
 
     def _release(self, member_id: str, conn: Connection) -> None:
+        self._return_to_pool(member_id, conn)
+        self.dispatch_waiting()
+
+    def _return_to_pool(self, member_id: str, conn: Connection) -> None:
         pool = self.pools.get(member_id)
         if pool is None:
             conn.close()
@@ -435,7 +444,8 @@
             member, limit, self._clock, self._ports.connect, self._on_connection_opened
         )
         self.pools[member.id] = pool
-        state.has_connection = pool.has_idle
+        state.has_connection, state.has_room = pool.has_idle, pool.has_room
+        state.reserve_connection = pool.reserve
         self._invalid_claims.discard(member.id)
 
     def _drop(self, member_id: str) -> None:
--- a/godwitthread/gateway/groups/replica_control.py
+++ b/godwitthread/gateway/groups/replica_control.py
@@ -101,7 +101,9 @@
             conn = pool.acquire(organisation, {}, STATUS_TIMEOUT_MS)
         except NotConnectedError as exc:
             self._log.failure('connection_refused', member=member_id, reason=exc.refusal.value)
+            self._runner.dispatch_waiting()
             return None
         status = query(conn)
         pool.release(conn)
+        self._runner.dispatch_waiting()
         return status
