--- a/godwitthread/gateway/groups/transaction_runner.py
+++ b/godwitthread/gateway/groups/transaction_runner.py
@@ -142,7 +142,7 @@
             if isinstance(granted, Result):
                 return granted
             with self._release_slot_on_error(granted):
-                conn = self._connect(granted, req, deadline_ms)
+                conn = self._connect(granted, req)
                 if conn is None:
                     continue
                 sent_ms, epoch = self._clock.now_ms(), self.epoch
