Let new sessions wait for the first configuration

Cause: after a power loss of all instances, callers return as soon as a process listens.

Change: a new session waits up to 500 ms for the configuration of an instance that has just started; callers accept 2 s.

Result: test_a_session_waits_for_the_first_configuration fails without the change and passes with it.

--- a/godwitthread/gateway/sessions.py
+++ b/godwitthread/gateway/sessions.py
@@ -28,6 +28,11 @@
 
 #: Time limit for sending the final answers, in ms; a caller that does not read delays the exit.
 FINAL_ANSWER_TIMEOUT_MS = 100
+#: Time that a new session waits for the configuration of an instance that has just started, in ms.
+#: It arrives a few calls to the store after the start; a refused caller would come back later.
+CONFIGURATION_WAIT_MS = 500
+#: Interval of the check for the configuration, in ms.
+CONFIGURATION_CHECK_MS = 20
 
 
 class Sessions:
@@ -57,6 +62,7 @@
 
     def open(self, database: str, key: str) -> tuple[Session | None, Result | None]:
         """Return a new session, or the reason for its refusal."""
+        self._wait_for_configuration()
         _, _, refusal = self.resolve(database, key)
         if refusal is None and self.phase >= Phase.DRAINING:
             refusal = failure(ErrorKind.SHUTTING_DOWN, CLOSING_MESSAGE, RECONNECT_DELAY_MS)
@@ -82,6 +88,11 @@
             return route, ANONYMOUS, None
         return None, '', failure(ErrorKind.KEY_INVALID, 'unknown key')
 
+    def _wait_for_configuration(self) -> None:
+        end_ms = self.clock.now_ms() + CONFIGURATION_WAIT_MS
+        while self._configuration() is None and self.clock.now_ms() < end_ms:
+            eventlet.sleep(CONFIGURATION_CHECK_MS / 1000)
+
     def is_withdrawn(self, key: str, organisation: str) -> bool:
         """Return whether a key no longer belongs to the organisation that it was resolved to."""
         cfg = self._configuration()
--- a/tests/test_gateway/test_sessions.py
+++ b/tests/test_gateway/test_sessions.py
@@ -59,6 +59,28 @@
     assert open_session(key='k9')[1].error == ErrorKind.KEY_INVALID.value
 
 
+def test_a_session_waits_for_the_first_configuration():
+    """Guard against refusing all callers of an instance that has started a moment ago."""
+    clock = Clock()
+    known = [None]
+    sessions = Sessions(clock, lambda: known[0], FakeOwner().run, quiet_log(clock), lambda *_: None)
+    opening = eventlet.spawn(sessions.open, 'orders-db', 'k1')
+    eventlet.sleep(0)
+    known[0] = configuration()
+    session, refusal = opening.wait()
+    assert session is not None
+    assert refusal is None
+
+
+def test_a_session_is_refused_while_no_configuration_arrives(monkeypatch):
+    """Guard against callers that wait without a bound for an instance that reads no store."""
+    monkeypatch.setattr('godwitthread.gateway.sessions.CONFIGURATION_WAIT_MS', 0)
+    clock = Clock()
+    sessions = Sessions(clock, lambda: None, FakeOwner().run, quiet_log(clock), lambda *_: None)
+    _, refusal = sessions.open('orders-db', 'k1')
+    assert refusal.error == ErrorKind.OVERLOADED.value
+
+
 def test_an_open_route_needs_no_key():
     """Guard against routes that require a key although they are public."""
     cfg = configuration()._replace(routes={'orders-db': route(open=True)})
