Start rate granters with part of the tolerated excess

Cause: a new granter starts with a fifth of the burst, so that callers are refused within their rate after a restart of all instances. An instance that could not reach a granter asked again only after 40 ms.

Change: where the settings give QuotaWindowS, QuotaExcess and QuotaSlack, the initial tokens are a quarter of the tolerated excess and half of the slack. Above 20 operations per second (for a slack of 20), the operations requested in advance before the window can add up to more than half of the slack; a new granter then gains its first operations up to 125 ms later. A granter is asked again when the reach of an instance changes, and otherwise after 40 ms as before.

Without the settings nothing changes.

--- a/godwitthread/core/rate_grants.py
+++ b/godwitthread/core/rate_grants.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import NamedTuple
 
 from godwitthread.core.bucket import MICRO_PER_TOKEN, TokenBucket
@@ -16,6 +17,11 @@
 #: Share of the burst that a new granter starts with. Several changes of the granter
 #: within a few seconds then exceed the limit by less than the tolerated tenth.
 INITIAL_BURST_SHARE = 0.2
+#: Number of changes of the granter within one window that the tolerated excess covers.
+COVERED_CHANGES = 4
+#: Share of the tolerated number of operations that changes of the granter may use. The rest is for
+#: hedged reads, which reach two members.
+SLACK_SHARE = 0.5
 #: Retry delay returned when the limit of an organisation is zero, in ms.
 ZERO_LIMIT_RETRY_MS = 1_000
 #: Weight of the newest sample in the moving average of the rate of use.
@@ -30,15 +36,52 @@
     retry_after_ms: int
 
 
+class RateTolerance(NamedTuple):
+    """Excess over the rate of an organisation that is tolerated in any window."""
+
+    window_s: float
+    #: Share of the operations that rate and burst allow in a window.
+    excess: float
+    #: Number of operations beyond that.
+    slack: float
+
+
+def initial_tokens(rate: float, burst: float, tolerance: RateTolerance | None) -> float:
+    """Return the operations that a new granter may grant at once.
+
+    The previous granter may have granted the whole burst, so these are part of the tolerated excess
+    where it is known.
+    """
+    if tolerance is None:
+        return burst * INITIAL_BURST_SHARE
+    excess = tolerance.excess * (rate * tolerance.window_s + burst)
+    return min(burst, (excess + SLACK_SHARE * tolerance.slack) / COVERED_CHANGES)
+
+
+def refill_pause_ms(rate: float, tolerance: RateTolerance | None) -> int:
+    """Return the time after its start from which a new granter gains operations, in ms.
+
+    Operations granted before a window may be used in it until they expire. What the slack does not
+    cover of these is made up for, so that the bound also holds after the covered changes.
+    """
+    if tolerance is None or rate <= 0:
+        return 0
+    uncovered = rate * GRANT_LIFETIME_MS / 1000 - SLACK_SHARE * tolerance.slack
+    return max(0, math.ceil(1000 * uncovered / rate / COVERED_CHANGES))
+
+
 class RateGranter:
     """Distribute the rate of one organisation among the requesting holders.
 
     Starts with part of the burst, since the previous granter may have granted all of it.
     """
 
-    def __init__(self, now_ms: int, rate: float, burst: float) -> None:
-        initial_milli = int(burst * INITIAL_BURST_SHARE * 1000)
-        self._bucket = TokenBucket(int(rate * 1000), initial_milli, now_ms, full=True)
+    def __init__(
+        self, now_ms: int, rate: float, burst: float, tolerance: RateTolerance | None = None
+    ) -> None:
+        initial_milli = int(initial_tokens(rate, burst, tolerance) * 1000)
+        self._refill_ms = now_ms + refill_pause_ms(rate, tolerance)
+        self._bucket = TokenBucket(int(rate * 1000), initial_milli, self._refill_ms, full=True)
         self._bucket.resize(now_ms, int(rate * 1000), int(burst * 1000))
 
     def set_limit(self, now_ms: int, rate: float, burst: float) -> None:
@@ -51,7 +94,8 @@
         """Grant up to the wanted number of operations, or return the time until one is free."""
         available = self._bucket.micro_tokens(now_ms) // MICRO_PER_TOKEN
         if available < 1:
-            return Grant(0, self._bucket.retry_after_ms(now_ms) or ZERO_LIMIT_RETRY_MS)
+            wait_ms = self._bucket.retry_after_ms(now_ms) or ZERO_LIMIT_RETRY_MS
+            return Grant(0, wait_ms + max(0, self._refill_ms - now_ms))
         # Beyond what it needs now, a holder gets at most half of the remaining tokens, so
         # that requests in advance do not empty the bucket for the other holders.
         prefetch = min(int(wanted) - needed, (available - needed) // 2)
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -44,6 +44,7 @@
 if TYPE_CHECKING:
     from godwitthread.clock import Clock
     from godwitthread.core.catalog import Configuration, Group, Organisation, Peer
+    from godwitthread.core.rate_grants import RateTolerance
     from godwitthread.gateway.logs import Log
     from godwitthread.gateway.metrics import Metrics
     from godwitthread.gateway.ports import Ports
@@ -67,7 +68,15 @@
 class Node:
     """Serve sessions and own groups as one instance of a deployment."""
 
-    def __init__(self, peer: Peer, clock: Clock, ports: Ports, log: Log, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        peer: Peer,
+        clock: Clock,
+        ports: Ports,
+        log: Log,
+        metrics: Metrics,
+        tolerance: RateTolerance | None = None,
+    ) -> None:
         self.peer = peer
         self.clock = clock
         self.log = log
@@ -97,7 +106,7 @@
             clock, lambda: self.view.configuration, self.run, log, metrics.observe
         )
         self.rate_limiter = RateLimiter(
-            clock, self._organisation, lambda *args: self.grant_router.ask(*args), log
+            clock, self._organisation, lambda *args: self.grant_router.ask(*args), log, tolerance
         )
         self.duty = PromotionDuty(peer.name, peer.incarnation, ports, log)
         self.runners: dict[str, GroupRunner] = {}
@@ -388,6 +397,7 @@
             if self._eviction.set_unreachable(name):
                 self.log.event('peer_lost', peer=name, announced=self._links[name].announced_end)
         self.ownership_manager.reconcile()
+        self.rate_limiter.on_reach_changed()
 
     # Background work
 
--- a/godwitthread/gateway/rate_limiter.py
+++ b/godwitthread/gateway/rate_limiter.py
@@ -13,9 +13,11 @@
 
     from godwitthread.clock import Clock
     from godwitthread.core.catalog import Organisation
+    from godwitthread.core.rate_grants import RateTolerance
     from godwitthread.gateway.logs import Log
 
-#: Delay before another request to a granter that could not be reached, in ms.
+#: Delay before another request to a granter that could not be reached, in ms, unless the reach of
+#: an instance changes before.
 RETRY_MS = 40
 #: Time limit of a request to a granter, in ms.
 CALL_TIMEOUT_MS = 300
@@ -40,8 +42,10 @@
         organisation: Callable[[str], Organisation | None],
         ask: Callable[[GrantRequest, int], Grant],
         log: Log,
+        tolerance: RateTolerance | None = None,
     ) -> None:
         self._clock = clock
+        self._tolerance = tolerance
         #: Returns an organisation of the current configuration, with its rate limit.
         self._organisation = organisation
         #: Sends a request to the granter of an organisation; raises ProxyError.
@@ -50,6 +54,8 @@
         self._holders: dict[str, RateHolder] = {}
         self._granters: dict[str, RateGranter] = {}
         self._asking: dict[str, eventlet.event.Event] = {}
+        #: Sent when an instance becomes reachable or unreachable.
+        self._reach_changed = eventlet.event.Event()
 
     def admit(self, organisation: str, wait_ms: int, hold_ms: int) -> int:
         """Return 0 if an operation is admitted, else the delay before a retry, in ms.
@@ -83,7 +89,7 @@
             raise ProxyError(ErrorKind.KEY_INVALID, 'unknown organisation')
         granter = self._granters.get(req.organisation)
         if granter is None:
-            granter = RateGranter(now_ms, owner.rate, owner.burst)
+            granter = RateGranter(now_ms, owner.rate, owner.burst, self._tolerance)
             self._granters[req.organisation] = granter
         granter.set_limit(now_ms, owner.rate, owner.burst)
         return granter.grant(now_ms, req.needed, req.wanted)
@@ -92,6 +98,11 @@
         """Drop the grants of an organisation, since another instance is its granter now."""
         self._granters.pop(organisation, None)
 
+    def on_reach_changed(self) -> None:
+        """Ask granters that could not be reached again."""
+        changed, self._reach_changed = self._reach_changed, eventlet.event.Event()
+        changed.send()
+
     def granted(self) -> list[str]:
         """Return the organisations whose granter is this instance."""
         return list(self._granters)
@@ -110,7 +121,8 @@
         except ProxyError as exc:
             # The granter is changing or unreachable; without a grant nothing is admitted.
             self._log.failure('rate_not_granted', organisation=organisation, reason=exc.message)
-            eventlet.sleep(RETRY_MS / 1000)
+            with eventlet.Timeout(RETRY_MS / 1000, False):
+                self._reach_changed.wait()
         finally:
             del self._asking[organisation]
             done.send()
--- a/godwitthread/platform/settings.py
+++ b/godwitthread/platform/settings.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from godwitthread.address import Address, parse_address
+from godwitthread.core.rate_grants import RateTolerance
 from godwitthread.errors import ErrorKind, ProxyError
 
 if TYPE_CHECKING:
@@ -19,6 +20,10 @@
 MAX_CORES = 10_000
 MAX_LINK_MBPS = 10**7
 MAX_GRACE_S = 86_400
+#: Upper bounds of the window, excess and slack of rates.
+MAX_QUOTA_WINDOW_S = 86_400
+MAX_QUOTA_EXCESS = 10.0
+MAX_QUOTA_SLACK = 10**6
 
 
 class NodeSettings(NamedTuple):
@@ -43,6 +48,8 @@
     link_mbps: float
     #: Grace period between SIGTERM and SIGKILL, in ms.
     grace_ms: int
+    #: Tolerated excess over the rates of organisations; None where the file does not give it.
+    rate_tolerance: RateTolerance | None = None
 
 
 def load(environ: Mapping[str, str]) -> NodeSettings:
@@ -84,6 +91,7 @@
         cores=read_value('Limits', _cores),
         link_mbps=read_value('Limits.LinkMbps', lambda value: _number(value, MAX_LINK_MBPS)),
         grace_ms=read_value('Bounds.GraceS', lambda value: int(_number(value, MAX_GRACE_S) * 1000)),
+        rate_tolerance=read_value('Bounds', _rate_tolerance),
     )
     if errors:
         raise ExceptionGroup('invalid settings', errors)
@@ -108,6 +116,18 @@
     return _number(float(limits['CpuShare']) * float(limits['Cores']), MAX_CORES)
 
 
+def _rate_tolerance(bounds: Any) -> RateTolerance | None:
+    """Return the tolerated excess over rates, None unless all of its fields are given."""
+    values = [bounds.get(name) for name in ('QuotaWindowS', 'QuotaExcess', 'QuotaSlack')]
+    if None in values:
+        return None
+    window_s, excess, slack = (float(value) for value in values)
+    _number(window_s, MAX_QUOTA_WINDOW_S)
+    if not (0 <= excess <= MAX_QUOTA_EXCESS and 0 <= slack <= MAX_QUOTA_SLACK):
+        raise ValueError(f'excess {excess} or slack {slack} is out of range')
+    return RateTolerance(window_s, excess, slack)
+
+
 def _number(value: Any, maximum: float) -> float:
     number = float(value)
     if not 0 < number <= maximum:
--- a/tests/test_gateway/test_rate_grants.py
+++ b/tests/test_gateway/test_rate_grants.py
@@ -2,12 +2,23 @@
 
 from __future__ import annotations
 
+import bisect
+from random import Random
+
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from godwitthread.core.rate_grants import GRANT_LIFETIME_MS, RateGranter, RateHolder
+from godwitthread.core.rate_grants import (
+    COVERED_CHANGES,
+    GRANT_LIFETIME_MS,
+    RateGranter,
+    RateHolder,
+    RateTolerance,
+    initial_tokens,
+)
 
 WINDOW_MS = 5_000
+TOLERANCE = RateTolerance(5.0, 0.1, 20.0)
 
 
 @settings(max_examples=60, deadline=None)
@@ -37,6 +48,75 @@
         assert inside <= rate * (WINDOW_MS + GRANT_LIFETIME_MS) / 1000 + rate + 1
 
 
+@settings(max_examples=40, deadline=None)
+@given(
+    st.sampled_from([5, 10, 20, 40, 60, 80, 160]),
+    st.sampled_from([0.5, 1.0, 2.0]),
+    st.lists(
+        st.integers(500, 5_400), min_size=COVERED_CHANGES, max_size=COVERED_CHANGES, unique=True
+    ),
+    st.sampled_from([20, 50, 100]),
+    st.integers(400, GRANT_LIFETIME_MS - 20),
+)
+def test_no_window_exceeds_the_tolerated_rate_when_the_granter_changes(
+    rate, bursts, changes, calm_ms, flood_ms
+):
+    """Guard against operations requested in advance and initial tokens that add up.
+
+    The organisation has its whole burst, makes the instances request operations in advance, and
+    sends as many as it can after that, while the granter changes.
+    """
+    random, burst, used = Random(changes[0]), rate * bursts, []
+    granter = RateGranter(-10_000, rate, burst, TOLERANCE)
+    holders = [RateHolder() for _ in range(4)]
+    changes = sorted(changes)
+    for now_ms in range(5_600):
+        if changes and now_ms >= changes[0]:
+            del changes[0]
+            granter = RateGranter(now_ms, rate, burst, TOLERANCE)
+        for holder in holders:
+            flood = now_ms >= flood_ms
+            if not flood and (now_ms >= calm_ms or random.random() > 0.2):
+                continue
+            holder.waiting = 1
+            if not holder.take(now_ms):
+                holder.receive(now_ms, now_ms, granter.grant(now_ms, 1, holder.wanted()))
+                if not holder.take(now_ms):
+                    continue
+            used.append(now_ms)
+    allowed = (rate * TOLERANCE.window_s + burst) * (1 + TOLERANCE.excess) + TOLERANCE.slack
+    for start, at_ms in enumerate(used):
+        inside = bisect.bisect_left(used, at_ms + WINDOW_MS) - start
+        assert inside <= allowed
+
+
+@given(st.floats(0, 500), st.floats(0, 500))
+def test_initial_tokens_keep_half_of_the_slack_for_hedged_reads(rate, burst):
+    """Guard against an organisation that gets nothing, or over its bound, after a restart."""
+    initial = initial_tokens(rate, burst, TOLERANCE)
+    excess = TOLERANCE.excess * (rate * TOLERANCE.window_s + burst)
+    assert initial <= burst
+    assert COVERED_CHANGES * initial <= excess + TOLERANCE.slack / 2 + 1e-6
+    assert initial == burst or initial >= (excess + TOLERANCE.slack / 2) / COVERED_CHANGES - 1e-6
+
+
+def test_a_refusal_while_a_new_granter_gains_nothing_names_the_time_of_the_next_operation():
+    """Guard against a retry delay that ends before there is another operation."""
+    granter = RateGranter(0, 80, 80, TOLERANCE)
+    while (grant := granter.grant(0, 1, 1)).amount:
+        pass
+    assert granter.grant(grant.retry_after_ms - 1, 1, 1).amount == 0
+    assert granter.grant(grant.retry_after_ms, 1, 1).amount == 1
+
+
+def test_a_granter_starts_with_more_where_the_tolerance_is_given():
+    """Guard against refusals within the rate after a restart of all instances."""
+    granter, total = RateGranter(0, 20, 20, TOLERANCE), 0
+    while (grant := granter.grant(0, 1, 1)).amount:
+        total += grant.amount
+    assert total == 5
+
+
 def test_a_grant_ends_by_itself():
     """Guard against a grant that is used after it has expired at its granter."""
     holder = RateHolder()
--- a/tests/test_gateway/test_rate_limiter.py
+++ b/tests/test_gateway/test_rate_limiter.py
@@ -8,6 +8,7 @@
 from godwitthread.core.catalog import Organisation
 from godwitthread.core.rate_grants import Grant
 from godwitthread.errors import ErrorKind, ProxyError
+from godwitthread.gateway import rate_limiter
 from godwitthread.gateway.rate_limiter import RateLimiter
 from tests.test_gateway.fakes import quiet_log
 
@@ -41,6 +42,24 @@
     assert make(ask).admit('drivers', 0, 400) == 0
 
 
+def test_a_granter_is_asked_again_as_soon_as_the_reach_changes(monkeypatch):
+    """Guard against operations that wait for 40 ms each time while all instances start."""
+    monkeypatch.setattr(rate_limiter, 'RETRY_MS', 60_000)
+    answers = [ProxyError(ErrorKind.BACKEND_UNAVAILABLE, 'no way to b'), Grant(1, 0)]
+
+    def ask(request, timeout_ms):
+        answer = answers.pop(0)
+        if isinstance(answer, ProxyError):
+            raise answer
+        return answer
+
+    limiter = make(ask)
+    admitted = eventlet.spawn(limiter.admit, 'drivers', 0, 30_000)
+    eventlet.sleep(0)
+    limiter.on_reach_changed()
+    assert admitted.wait() == 0
+
+
 def test_nothing_is_admitted_without_a_granter():
     """Guard against an isolated instance that admits operations beyond the shared rate."""
 
--- a/tests/test_platform/test_settings.py
+++ b/tests/test_platform/test_settings.py
@@ -34,6 +34,16 @@
     assert (loaded.cores, loaded.link_mbps, loaded.grace_ms) == (1.0, 10.0, 6_000)
 
 
+def test_the_tolerated_excess_over_rates_is_optional():
+    """Guard against a start that fails, or assumes a tolerance, where the file gives none."""
+    assert settings.parse(NODE).rate_tolerance is None
+    given = {'GraceS': 6, 'QuotaWindowS': 5, 'QuotaExcess': 0.1, 'QuotaSlack': 20}
+    assert settings.parse(NODE | {'Bounds': given}).rate_tolerance == (5.0, 0.1, 20.0)
+    assert settings.parse(NODE | {'Bounds': given | {'QuotaExcess': None}}).rate_tolerance is None
+    with pytest.raises(ExceptionGroup):
+        settings.parse(NODE | {'Bounds': given | {'QuotaSlack': -1}})
+
+
 def test_all_errors_are_reported_at_once():
     """Guard against a start that reports only the first of several invalid settings."""
     changed = NODE | {'Node': '', 'platform': {'Addr': 'store'}, 'Bounds': {}}
