Close the idle connection that is least likely to be used soon

Cause: the connection idle for longest was closed to make room, also if its organisation was busier than others.

Change: core/scheduling/idle_connections.py keeps the recent rate of use of each organisation at the member, and the connection with the lowest expected use is closed; a further connection of one organisation counts as used only while all others are.

--- a/godwitthread/gateway/groups/member_pool.py
+++ b/godwitthread/gateway/groups/member_pool.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from godwitthread.core.scheduling.connection_limit import ConnectionLimit
+from godwitthread.core.scheduling.idle_connections import IdleConnections
 from godwitthread.core.statements import Refusal, TxState
 from godwitthread.gateway.ports import NotConnectedError
 from godwitthread.loop import eventlet
@@ -42,6 +43,8 @@
         self.member = member
         #: Number of connections that the member accepts, including those being opened.
         self.accepted = ConnectionLimit(limit)
+        #: How often organisations use the member.
+        self.uses = IdleConnections()
         #: Whether released connections are closed instead of pooled.
         self.closing = False
         #: Organisation that acquired a connection last.
@@ -92,6 +95,7 @@
         if self._reserved[organisation] <= 0:
             del self._reserved[organisation]
         self.last_organisation = organisation
+        self.uses.record_use(self._clock.now_ms(), organisation)
         conn = self._take_idle(organisation, values)
         if conn is not None:
             return conn
@@ -193,10 +197,13 @@
 
     def _close_one_idle(self) -> bool:
         """Close an idle connection that is not reserved; return False if there is none."""
-        spare = [conn for conn in self._idle if self.has_idle(conn.organisation)]
-        if not spare:
+        idle = Counter(conn.organisation for conn in self._idle)
+        closable = {name: count for name, count in idle.items() if count > self._reserved[name]}
+        organisation = self.uses.choose(self._clock.now_ms(), closable)
+        if organisation is None:
             return False
-        oldest = min(spare, key=lambda conn: conn.used_ms)
+        own = (conn for conn in self._idle if conn.organisation == organisation)
+        oldest = min(own, key=lambda conn: conn.used_ms)
         self._idle.remove(oldest)
         oldest.close()
         return True
--- a/tests/test_gateway/virtual_members.py
+++ b/tests/test_gateway/virtual_members.py
@@ -113,13 +113,15 @@
         self._numbers = itertools.count(1)
         self._rng = random.Random(7)
         self._names = [f'org{number}' for number in range(organisations)]
+        #: Share of the reads by organisation; equal without it.
+        self.weights: list[float] | None = None
 
     def send(self, rate: float, duration_ms: int, objective_ms: int = 255) -> None:
         """Send reads for a time, and wait for their results."""
         pool = eventlet.GreenPool(10_000)
         end_ms = self._clock.now_ms() + duration_ms
         while self._clock.now_ms() < end_ms:
-            pool.spawn_n(self._read, self._rng.choice(self._names), objective_ms)
+            pool.spawn_n(self._read, self._rng.choices(self._names, self.weights)[0], objective_ms)
             eventlet.sleep(1 / rate)
         pool.waitall()
 
