Report usage per organisation and window

Cause: the platform asks for usage reports in some deployments, and nothing sent any.

Change: owners of groups count requests and send cumulative counts to the first two instances in the ranking of 'usage'. The first one holds the duty: it fixes the counts of a window in the row 'usage' before it reports them. The promotion duty does not return to an instance within LeaseMs after it lost it.

--- a/godwitthread/events.py
+++ b/godwitthread/events.py
@@ -113,6 +113,13 @@
             309, 'evidence_not_renewed', 'position of the primary not determined', logging.WARNING
         ),
         _event_type(311, 'duty_lost', 'promotion duty held by another instance'),
+        _event_type(312, 'usage_duty_taken', 'usage report duty acquired'),
+        _event_type(313, 'usage_duty_lost', 'usage report duty given up or taken by another'),
+        _event_type(314, 'usage_reported', 'usage of a window reported'),
+        _event_type(
+            315, 'usage_given_up', 'usage of windows not reported in time', logging.WARNING
+        ),
+        _event_type(316, 'usage_not_reported', 'usage report attempt failed', logging.WARNING),
         _event_type(310, 'replica_resumed', 'replica resumed replication'),
         _event_type(401, 'request_refused', 'request refused', logging.DEBUG),
         _event_type(402, 'request_unknown', 'outcome of a request unknown', logging.WARNING),
--- a/godwitthread/gateway/groups/group_runner.py
+++ b/godwitthread/gateway/groups/group_runner.py
@@ -17,6 +17,7 @@
     Result,
     failure,
 )
+from godwitthread.core.usage_windows import Operation
 from godwitthread.errors import ErrorKind
 from godwitthread.gateway.groups.member_group import (
     BUSY_PAUSE_MS,
@@ -68,6 +69,7 @@
     on_primary: bool
     #: Epoch of the group in which it was begun.
     epoch: int
+    usage: Operation
 
 
 class GroupRunner(MemberGroup):
@@ -172,6 +174,7 @@
 
     def _write(self, req: RunRequest, deadline_ms: int) -> Result:
         hold_ms = self._hold_until(req)
+        usage = Operation(req.organisation, self.count_usage)
         while True:
             granted = self._acquire(req, None, min(hold_ms, deadline_ms), primary=True)
             if isinstance(granted, Result):
@@ -182,6 +185,7 @@
                     continue
                 sent_ms, epoch = self._clock.now_ms(), self.epoch
                 reply = self._statement(conn, req, deadline_ms, None)
+            usage.ran(sent_ms, reply)
             self._finish(granted, conn, sent_ms, reply)
             if reply.refusal is None:
                 if not self.may_acknowledge(epoch):
@@ -196,6 +200,7 @@
     def _read(self, req: RunRequest, deadline_ms: int) -> Result:
         answers: eventlet.queue.LightQueue = eventlet.queue.LightQueue()
         hold_ms = self._hold_until(req)
+        usage = Operation(req.organisation, self.count_usage)
         tried: set[str] = set()
         pending = 0
         last: Result | None = None
@@ -209,7 +214,8 @@
                     work, member_id = granted
                     tried.add(member_id)
                     pending += 1
-                    eventlet.spawn_n(self._attempt, answers, work, member_id, req, deadline_ms)
+                    args = work, member_id, usage, req, deadline_ms
+                    eventlet.spawn_n(self._attempt, answers, *args)
             answer = self._next_answer(answers, tried, deadline_ms, pending)
             if answer is None:
                 if self._clock.now_ms() >= deadline_ms:
@@ -245,11 +251,7 @@
         return granted if isinstance(granted, Result) else (work, granted)
 
     def _next_answer(
-        self,
-        answers: eventlet.queue.LightQueue,
-        tried: set[str],
-        deadline_ms: int,
-        pending: int,
+        self, answers: eventlet.queue.LightQueue, tried: set[str], deadline_ms: int, pending: int
     ) -> tuple[str, Reply] | None:
         if not pending:
             eventlet.sleep(BUSY_PAUSE_MS / 1000)
@@ -273,11 +275,12 @@
         answers: eventlet.queue.LightQueue,
         work: WorkItem,
         member_id: str,
+        usage: Operation,
         req: RunRequest,
         deadline_ms: int,
     ) -> None:
         try:
-            reply = self._try_read(work, member_id, req, deadline_ms)
+            reply = self._try_read(work, member_id, usage, req, deadline_ms)
         except Exception as exc:
             self._abandon(member_id, exc)
             reply = Reply(refusal=Refusal.FAILED, message='internal error')
@@ -285,7 +288,9 @@
             self._on_not_run(member_id, reply, work)
         answers.put((member_id, reply))
 
-    def _try_read(self, work: WorkItem, member_id: str, req: RunRequest, deadline_ms: int) -> Reply:
+    def _try_read(
+        self, work: WorkItem, member_id: str, usage: Operation, req: RunRequest, deadline_ms: int
+    ) -> Reply:
         conn = self._connect(member_id, req, deadline_ms)
         if conn is None:
             return Reply(refusal=Refusal.UNREACHABLE)
@@ -299,10 +304,12 @@
             if reply.refusal is None:
                 self._record_evidence(member_id, sent_ms, epoch, reply)
                 reply = self._statement(conn, req, deadline_ms, None)
+                usage.ran(sent_ms, reply)
                 if not conn.closed:
                     conn.rollback(INTERNAL_TIMEOUT_MS)
         else:
             reply = self._statement(conn, req, deadline_ms, work.required)
+            usage.ran(sent_ms, reply)
             state = self.dispatcher.members.get(member_id)
             if reply.refusal is None and state is not None and member_id != self.last_primary:
                 state.record_applied(sent_ms, sent_ms - work.required_ms)
@@ -331,6 +338,7 @@
             sent_ms, reply = self._run_in(tx, req, deadline_ms, commit)
         finally:
             self._busy.discard(tx.conn)
+        tx.usage.ran(sent_ms, reply)
         tx.conn.used_ms = self._clock.now_ms()
         if tx.on_primary and reply.refusal is None and not self.may_acknowledge(tx.epoch):
             reply = Reply(refusal=Refusal.LOST, message=UNCONFIRMED)
@@ -393,7 +401,8 @@
             if reply.refusal is None:
                 if on_primary:
                     self._record_evidence(granted, sent_ms, epoch, reply)
-                return OpenTransaction(conn, granted, on_primary, epoch)
+                usage = Operation(req.organisation, self.count_usage)
+                return OpenTransaction(conn, granted, on_primary, epoch, usage)
             self._release(granted, conn)
             self._on_not_run(granted, reply)
 
@@ -411,11 +420,7 @@
         self._release(tx.member, tx.conn)
 
     def _statement(
-        self,
-        conn: Connection,
-        req: RunRequest,
-        deadline_ms: int,
-        after: Position | None,
+        self, conn: Connection, req: RunRequest, deadline_ms: int, after: Position | None
     ) -> Reply:
         if not self._apply_session_state(conn, req, deadline_ms):
             conn.close()
--- a/godwitthread/gateway/groups/member_group.py
+++ b/godwitthread/gateway/groups/member_group.py
@@ -19,7 +19,7 @@
 from godwitthread.loop import eventlet
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from godwitthread.clock import Clock
     from godwitthread.core.catalog import Group, Member
@@ -64,6 +64,8 @@
         #: Newest promotion that this instance has followed.
         self._followed = Succession()
         self._following = False
+        #: Counts a request of an organisation that was sent to a member at a time and ran there.
+        self.count_usage: Callable[[str, int], None] | None = None
         self._clock = clock
         self._ports = ports
         self._log = log
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -19,7 +19,7 @@
     unknown_outcome,
 )
 from godwitthread.errors import ErrorKind, ProxyError
-from godwitthread.gateway import link_server, links
+from godwitthread.gateway import link_server, links, usage_collector
 from godwitthread.gateway.authority_manager import AuthorityManager, ClaimRequest
 from godwitthread.gateway.duty_router import DutyRouter
 from godwitthread.gateway.frames import FrameStream, HeartbeatStatus, Hello
@@ -99,7 +99,7 @@
         self.rate_limiter = RateLimiter(
             clock, self._organisation, lambda *args: self.grant_router.ask(*args), log
         )
-        self.duty = PromotionDuty(peer.name, peer.incarnation, ports, log)
+        self.duty = PromotionDuty(peer.name, peer.incarnation, ports, log, clock)
         self.runners: dict[str, GroupRunner] = {}
         self._links: dict[str, Link] = {}
         self.duty_router = DutyRouter(peer.name, self.duty, self.view, self._links)
@@ -120,6 +120,16 @@
             self._on_lease_granted,
             log,
         )
+        self.usage = usage_collector.build(
+            peer,
+            clock,
+            ports,
+            log,
+            self.ownership_manager,
+            self._links,
+            self._reach,
+            lambda: self.leaving,
+        )
         self.calls = self._call_handlers()
         self._threads: list[Any] = []
         self._organisations: dict[str, Organisation] = {}
@@ -133,6 +143,7 @@
         """Register this instance, watch the store and start to own groups."""
         self._threads = self.store_sync.start()
         self._threads += [self._spawn_registration(), eventlet.spawn(self._tick_forever)]
+        self._threads += self.usage.start() if self.usage else []
 
     def _spawn_registration(self) -> Any:
         registration = Registration(
@@ -162,6 +173,8 @@
 
     def depart(self) -> None:
         """Make it known that this process ends, as its last act."""
+        if self.usage:
+            self.usage.hand_over()
         self.authority.stop_voting()
         mark_departed(self.peer, self.view, self._ports, self.log)
         # A peer that connects before the announcement would take the process for a running one, so
@@ -287,6 +300,8 @@
         calls.add('order', OrderRequest, lambda _, req: self.duty_router.answer(req))
         calls.add('claim', ClaimRequest, self._answer_claim)
         calls.add('view', ViewRequest, lambda _, req: self.store_sync.peers.answer(req))
+        if self.usage:
+            calls.add(usage_collector.RESOURCE, usage_collector.UsageMessage, self.usage.receive)
         return calls
 
     def _run_for_peer(self, sender: str, req: RunRequest) -> Result:
@@ -334,6 +349,7 @@
         if runner is None:
             lease = self.authority.add(name)
             runner = GroupRunner(name, self.clock, self._ports, self.log, self._admit, lease)
+            runner.count_usage = self.usage.record if self.usage else None
             failover = Failover(
                 runner,
                 self.clock,
--- a/godwitthread/gateway/ports.py
+++ b/godwitthread/gateway/ports.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from enum import Enum
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from godwitthread.core.catalog import Configuration, Member
 from godwitthread.core.statements import Reply
+from godwitthread.core.usage_windows import UsageTerms
 from godwitthread.errors import ErrorKind, ProxyError
 from godwitthread.types import Position
 
@@ -191,6 +193,38 @@
     refused: bool = False
 
 
+class UsageReport(NamedTuple):
+    """Report of the usage of one window."""
+
+    window: int
+    counts: dict[str, int]
+    holder: str
+    #: Fencing token of the holder.
+    token: int
+    #: Returns whether the holder may still send; asked when the connection is open.
+    may_send: Callable[[], bool]
+
+
+class UsageResult(Enum):
+    """Outcomes of a usage report."""
+
+    DONE = 'done'
+    #: A higher token was used.
+    REFUSED = 'refused'
+    #: The report may take effect, now or later, or the platform did not accept it.
+    FAILED = 'failed'
+    #: The right to send ended before the report was sent.
+    NOT_SENT = 'not_sent'
+
+
+class UsagePort(NamedTuple):
+    """Usage reports that the platform asks for."""
+
+    terms: UsageTerms
+    #: Sends a report; takes the report and the time limit in ms.
+    post: Callable[[UsageReport, int], UsageResult]
+
+
 class Ports(NamedTuple):
     """Functions and schema that a platform adapter provides."""
 
@@ -201,3 +235,7 @@
     schema: Schema
     #: Orders a promotion; takes group, member, name of the holder, fencing token, time limit in ms.
     promote: Callable[[str, str, str, int, int], PromotionResult]
+    #: Usage reports, None where the platform asks for none.
+    usage: UsagePort | None = None
+    #: Time within which duties must not return to a former holder, in ms; 0 without a bound.
+    lease_ms: int = 0
--- a/godwitthread/gateway/promotion_duty.py
+++ b/godwitthread/gateway/promotion_duty.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from godwitthread.clock import Clock
     from godwitthread.gateway.logs import Log
     from godwitthread.gateway.ports import Ports, PromotionResult
 
@@ -65,11 +66,14 @@
 class PromotionDuty:
     """Take the promotion duty, and order promotions while holding it."""
 
-    def __init__(self, name: str, incarnation: int, ports: Ports, log: Log) -> None:
+    def __init__(self, name: str, incarnation: int, ports: Ports, log: Log, clock: Clock) -> None:
         self._name = name
         self._incarnation = incarnation
         self._ports = ports
         self._log = log
+        self._clock = clock
+        #: Time at which this instance learnt that it lost the duty, in ms.
+        self._lost_ms: int | None = None
         self._next_token: int | None = None
         #: Consecutive refusals; the tokens of a newer holder fence off every order of a former one.
         self._refusals = 0
@@ -93,6 +97,11 @@
 
     def take(self) -> None:
         """Become the holder; raise ProxyError if the store fails or another instance is first."""
+        lost_ms = self._lost_ms
+        if lost_ms is not None and self._clock.now_ms() - lost_ms < self._ports.lease_ms:
+            # Orders of this instance, its successor and this instance again within the lease would
+            # violate the contract of the platform.
+            raise ProxyError(ErrorKind.MOVED, 'this instance lost the promotion duty a moment ago')
         holder, revision = self._read()
         # A malformed row hides the tokens in use. Each batch took a write of its own, and the
         # store's version rises with each write, so that this is above all of them.
@@ -146,6 +155,7 @@
 
     def lose(self) -> None:
         """Record that another instance holds the duty."""
+        self._lost_ms = self._clock.now_ms()
         self._next_token = None
         self._refusals = 0
 
--- a/godwitthread/platform/gateway_process.py
+++ b/godwitthread/platform/gateway_process.py
@@ -21,10 +21,10 @@
 from godwitthread.gateway.logs import Log
 from godwitthread.gateway.metrics import Metrics
 from godwitthread.gateway.node import Node
-from godwitthread.gateway.ports import Ports
+from godwitthread.gateway.ports import Ports, UsagePort
 from godwitthread.gateway.shutdown import open_calls, shut_down
 from godwitthread.loop import eventlet
-from godwitthread.platform import caller_connection, promotion, row_decoding
+from godwitthread.platform import caller_connection, promotion, row_decoding, usage_report
 from godwitthread.platform.member_connection import open_connection
 from godwitthread.platform.settings import load
 from godwitthread.platform.store import StoreClient
@@ -83,6 +83,10 @@
             store=partial(StoreClient, settings.store_address),
             schema=row_decoding.SCHEMA,
             promote=partial(promotion.promote, settings.promotion_address),
+            usage=UsagePort(settings.usage, partial(usage_report.post, settings.promotion_address))
+            if settings.usage
+            else None,
+            lease_ms=settings.lease_ms,
         )
         metrics = Metrics()
         self.node = Node(peer, self.clock, ports, self._log, metrics)
@@ -115,6 +119,8 @@
             'table',
             {table: partial(_not_in_force_s, view, table) for table in tables},
         )
+        if self.node.usage:
+            self.node.usage.add_metrics(metrics)
         self._metrics = metrics
         self._stop_requested = eventlet.event.Event()
         #: Number of failed readiness probes since the request to stop.
--- a/godwitthread/platform/settings.py
+++ b/godwitthread/platform/settings.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from godwitthread.address import Address, parse_address
+from godwitthread.core.usage_windows import UsageTerms
 from godwitthread.errors import ErrorKind, ProxyError
 
 if TYPE_CHECKING:
@@ -19,6 +20,14 @@
 MAX_CORES = 10_000
 MAX_LINK_MBPS = 10**7
 MAX_GRACE_S = 86_400
+#: Upper bounds of the lease of duties, of the windows of usage reports and of their delay.
+MAX_LEASE_MS = 86_400_000
+MAX_REPORT_S = 86_400
+#: Entry of `Cloud.Duties` that asks for usage reports.
+USAGE_DUTY = 'usage_report'
+#: Delay and tolerance of usage reports where the settings give none.
+DEFAULT_USAGE_DELAY_S = 10.0
+DEFAULT_USAGE_TOLERANCE = 0.05
 
 
 class NodeSettings(NamedTuple):
@@ -43,6 +52,13 @@
     link_mbps: float
     #: Grace period between SIGTERM and SIGKILL, in ms.
     grace_ms: int
+    #: Time within which duties must not return to a former holder, in ms; 0 without a bound.
+    lease_ms: int = 0
+    #: Whether the platform refuses calls with a lower fencing token than an earlier one. Where it
+    #: does not, such a call violates the contract; the duties send none in either case.
+    require_fence: bool = False
+    #: Terms of usage reports, None where the platform asks for none.
+    usage: UsageTerms | None = None
 
 
 def load(environ: Mapping[str, str]) -> NodeSettings:
@@ -71,6 +87,24 @@
             errors.append(ProxyError(ErrorKind.SETTING_INVALID, message))
             return None
 
+    def read_optional(path: str, convert: Callable[[Any], Any], default: Any) -> Any:
+        value = data
+        for part in path.split('.'):
+            value = value.get(part) if isinstance(value, dict) else None
+        # The platform writes 0 or null for a bound that does not apply.
+        return default if value is None or value == 0 else read_value(path, convert)
+
+    def read_usage() -> UsageTerms | None:
+        duties = read_optional('Cloud.Duties', _names, ())
+        window_ms = read_optional('Bounds.ReportWindowS', _report_ms, 0)
+        delay_ms = read_optional(
+            'Bounds.UsageDelayS', _report_ms, int(DEFAULT_USAGE_DELAY_S * 1000)
+        )
+        tolerance = read_optional('Bounds.UsageOff', _share, DEFAULT_USAGE_TOLERANCE)
+        if duties is None or USAGE_DUTY not in duties or not window_ms:
+            return None
+        return UsageTerms(window_ms, delay_ms, tolerance)
+
     ip = read_value('Ip', _ip)
     settings = NodeSettings(
         name=read_value('Node', _non_empty_string),
@@ -84,12 +118,40 @@
         cores=read_value('Limits', _cores),
         link_mbps=read_value('Limits.LinkMbps', lambda value: _number(value, MAX_LINK_MBPS)),
         grace_ms=read_value('Bounds.GraceS', lambda value: int(_number(value, MAX_GRACE_S) * 1000)),
+        lease_ms=read_optional(
+            'Bounds.LeaseMs', lambda value: int(_number(value, MAX_LEASE_MS)), 0
+        ),
+        require_fence=read_optional('Bounds.RequireFence', _flag, False),
+        usage=read_usage(),
     )
     if errors:
         raise ExceptionGroup('invalid settings', errors)
     return settings
 
 
+def _names(value: Any) -> tuple[str, ...]:
+    if not isinstance(value, list) or not all(isinstance(each, str) for each in value):
+        raise ValueError(f'{value!r} is not a list of names')
+    return tuple(value)
+
+
+def _report_ms(value: Any) -> int:
+    number = int(_number(value, MAX_REPORT_S) * 1000)
+    if not number:
+        raise ValueError(f'{value!r} is shorter than 1 ms')
+    return number
+
+
+def _share(value: Any) -> float:
+    return _number(value, 1.0)
+
+
+def _flag(value: Any) -> bool:
+    if not isinstance(value, bool):
+        raise ValueError(f'{value!r} is not true or false')
+    return value
+
+
 def _non_empty_string(value: Any) -> str:
     if not isinstance(value, str) or not value:
         raise ValueError(f'{value!r} is not a non-empty string')
--- a/tests/test_gateway/test_promotion_duty.py
+++ b/tests/test_gateway/test_promotion_duty.py
@@ -63,7 +63,7 @@
         return script.pop(0) if script else DONE
 
     ports = Ports(lambda *args: None, lambda: store, None, promote)
-    return PromotionDuty(name, incarnation, ports, quiet_log(Clock())), orders
+    return PromotionDuty(name, incarnation, ports, quiet_log(Clock()), Clock()), orders
 
 
 def test_no_token_is_used_by_two_holders_or_after_a_restart():
--- /dev/null
+++ b/tests/test_usage/test_usage_reports.py
@@ -0,0 +1,213 @@
+"""Usage reports of several instances while the holder, owners, clocks, store or platform fail."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.test_usage.cluster import START_MS, TERMS, Cluster, Instance
+
+FIRST = TERMS.window(START_MS)
+
+
+def test_each_window_is_reported_once_with_one_write():
+    """Guard against missing windows, wrong counts, and more than one priced call a window."""
+    cluster = Cluster()
+    cluster.run(60_000)
+    last = TERMS.window(cluster.true_ms()) - 1
+    cluster.run(3_000, load=False)
+    assert cluster.wrong_windows(FIRST, last, 0) == []
+    assert cluster.ledger.violations == []
+    windows = len(cluster.ledger.accepted)
+    assert cluster.calls['write'] <= windows + 1
+    assert cluster.calls['read'] <= 1 + len(cluster.instances)
+
+
+@pytest.mark.parametrize('into_ms', [4_500, 250, 1_000, 1_250, 1_500])
+@pytest.mark.parametrize('way', ['killed', 'frozen', 'cut'])
+@pytest.mark.parametrize('fence', [False, True])
+def test_a_successor_goes_on_when_the_holder_fails(way, into_ms, fence):
+    """Guard against windows that are missing, differ or repeat a token around a change."""
+    cluster = Cluster(5, fence)
+    cluster.run(10_000)
+    cluster.run_to(into_ms)
+    former = cluster.instances[cluster.holder()]
+    if way == 'killed':
+        former.alive = False
+    elif way == 'frozen':
+        former.frozen = True
+    else:
+        former.cut = set(cluster.instances) - {former.peer.name}
+    cluster.run(12_000)
+    assert cluster.holder() != former.peer.name or way == 'cut'
+    former.frozen, former.cut = False, set()
+    cluster.run(30_000)
+    last = TERMS.window(cluster.true_ms()) - 2
+    assert cluster.ledger.violations == []
+    missing = [each for each in range(FIRST, last + 1) if each not in cluster.ledger.accepted]
+    assert missing == []
+    # What the former holder counted while it was alone came too late for some windows.
+    assert len(cluster.wrong_windows(FIRST, last)) <= 4
+
+
+@pytest.mark.parametrize('outcome', ['lost', 'late', 'down'])
+@pytest.mark.parametrize('at', ['store_script', 'platform_script'])
+def test_a_call_without_an_answer_is_repeated_exactly(at, outcome):
+    """Guard against a second report of a window with other counts after a lost answer."""
+    if at == 'store_script' and outcome == 'late':
+        return
+    cluster = Cluster()
+    cluster.run(10_000)
+    getattr(cluster, at).extend([outcome] * 3)
+    cluster.run(30_000)
+    assert cluster.ledger.violations == []
+    assert cluster.wrong_windows(FIRST, TERMS.window(cluster.true_ms()) - 2) == []
+
+
+def test_a_successor_repeats_the_report_that_the_holder_fixed():
+    """Guard against a successor that reports its own counts of a window already sent."""
+    cluster = Cluster()
+    cluster.run(10_000)
+    cluster.platform_down = True
+    cluster.run_to(2_000)
+    holder = cluster.instances[cluster.holder()]
+    fixed = holder.duty.fixed
+    assert fixed not in cluster.ledger.accepted
+    holder.alive = False
+    for name, instance in cluster.instances.items():
+        if name != holder.peer.name:
+            # A late count, which the fixed report does not have.
+            instance.collector.record('bode960', cluster.now_ms - 3_000)
+    cluster.platform_down = False
+    expected = holder.duty._row.counts
+    cluster.run(7_000)
+    assert cluster.holder() not in (None, holder.peer.name)
+    assert cluster.ledger.accepted[fixed] == expected
+
+
+def test_a_refused_holder_does_not_use_its_token_again():
+    """Guard against a call with a token that the platform refused."""
+    cluster = Cluster(fence=True)
+    cluster.run(10_000)
+    cluster.ledger.post(cluster.true_ms(), FIRST - 9, {}, 'other', 9_500)
+    cluster.run(30_000)
+    assert cluster.ledger.violations == []
+    assert cluster.ledger.in_time(TERMS.window(cluster.true_ms()) - 2, cluster.true_ms())
+
+
+def test_windows_are_given_up_while_the_store_is_down_for_long():
+    """Guard against late or differing reports, and a duty that stops after an outage."""
+    cluster = Cluster()
+    cluster.run(10_000)
+    cluster.store_down = True
+    holder = cluster.instances[cluster.holder()]
+    cluster.run(25_000)
+    cluster.store_down = False
+    cluster.run(20_000)
+    assert holder.duty.given_up >= 2
+    assert cluster.ledger.violations == []
+    last = TERMS.window(cluster.true_ms()) - 2
+    reported = [each for each in range(FIRST, last + 1) if each in cluster.ledger.accepted]
+    assert len(reported) + holder.duty.given_up == last - FIRST + 1
+    assert cluster.wrong_windows(last - 3, last) == []
+
+
+def test_the_next_instance_reports_while_the_first_lacks_the_store():
+    """Guard against windows that are missing because one instance can't reach the store."""
+    cluster = Cluster()
+    cluster.run(12_000)
+    former = cluster.instances[cluster.holder()]
+    former.store_cut = True
+    cluster.run(60_000)
+    former.store_cut = False
+    cluster.run(30_000)
+    assert cluster.ledger.violations == []
+    assert cluster.wrong_windows(FIRST, TERMS.window(cluster.true_ms()) - 2) == []
+
+
+@pytest.mark.parametrize('error_ms', [-7_000, 4_000, 3_600_000])
+@pytest.mark.parametrize('which', ['holder', 'owner'])
+def test_a_step_of_one_clock_changes_no_window(which, error_ms):
+    """Guard against requests in wrong windows after the clock of one instance was set."""
+    cluster = Cluster()
+    cluster.run(11_000)
+    name = cluster.holder() if which == 'holder' else cluster.order[-1]
+    cluster.instances[name].wall_error_ms = error_ms
+    cluster.run(30_000)
+    cluster.instances[name].wall_error_ms = 0
+    cluster.run(10_000)
+    assert cluster.wrong_windows(FIRST, TERMS.window(cluster.true_ms()) - 2, 0) == []
+
+
+def test_a_killed_owner_loses_its_last_interval_only():
+    """Guard against the loss of all counts of an owner that ends without notice."""
+    cluster = Cluster()
+    cluster.run(12_000)
+    cluster.run_to(4_750)
+    cluster.instances[cluster.order[-1]].alive = False
+    window = TERMS.window(cluster.true_ms())
+    cluster.run(12_000)
+    assert cluster.wrong_windows(FIRST, window) == []
+
+
+def test_sigterm_hands_the_counts_and_the_duty_over():
+    """Guard against counts and windows that are lost at a planned stop."""
+    cluster = Cluster()
+    cluster.run(12_000)
+    cluster.run_to(4_000)
+    former = cluster.instances[cluster.holder()]
+    former.leaving = True
+    for _ in range(50):
+        former.request('lune7')
+    former.collector.hand_over()
+    former.alive = False
+    cluster.run(750)
+    assert cluster.holder() not in (None, former.peer.name)
+    cluster.run(20_000)
+    assert cluster.ledger.violations == []
+    assert cluster.wrong_windows(FIRST, TERMS.window(cluster.true_ms()) - 2, 0) == []
+
+
+def test_a_restarted_holder_does_not_act_within_the_lease():
+    """Guard against holders in the order A, B, A within the lease after a restart."""
+    cluster = Cluster()
+    cluster.run(12_000)
+    cluster.run_to(1_000)
+    former = cluster.instances[cluster.holder()]
+    former.leaving = True
+    former.collector.hand_over()
+    former.alive = False
+    cluster.run(1_000)
+    cluster.instances[former.peer.name] = Instance(cluster, former.peer.name, 2)
+    cluster.run(30_000)
+    assert cluster.ledger.violations == []
+    # It is first in the ranking again, and got the duty back.
+    assert cluster.holder() == former.peer.name
+
+
+def test_counts_after_a_window_was_fixed_are_counted_as_late():
+    """Guard against late counts that change a fixed report or stay unnoticed."""
+    cluster = Cluster()
+    cluster.run(12_000)
+    cluster.run_to(2_500)
+    window = TERMS.window(cluster.true_ms()) - 1
+    before = dict(cluster.ledger.accepted[window])
+    for _ in range(40):
+        cluster.instances[cluster.order[-1]].collector.record('bode960', cluster.now_ms - 4_000)
+    cluster.run(2_000)
+    holder = cluster.instances[cluster.holder()].collector
+    assert (holder.late_requests, holder.windows_off) == (40, 1)
+    assert cluster.ledger.accepted[window] == before
+    assert cluster.ledger.violations == []
+
+
+def test_a_malformed_row_never_leads_to_a_second_report():
+    """Guard against a differing report of a window that a malformed row hides."""
+    cluster = Cluster()
+    cluster.run(12_000)
+    cluster.run_to(2_000)
+    cluster.revision += 1
+    cluster.row = cluster.row._replace(value=b'{', revision=cluster.revision)
+    cluster.run(40_000)
+    assert cluster.ledger.violations == []
+    last = TERMS.window(cluster.true_ms()) - 2
+    assert cluster.wrong_windows(last - 3, last) == []
