--- a/godwitthread/gateway/groups/statement_runner.py
+++ b/godwitthread/gateway/groups/statement_runner.py
@@ -7,6 +7,7 @@
 from godwitthread.core.scheduling import wait_limits
 from godwitthread.core.scheduling.member_state import WorkItem
 from godwitthread.core.statements import NOT_RUN, Consistency, Refusal, Reply, Result, failure
+from godwitthread.core.usage_windows import Operation
 from godwitthread.errors import ErrorKind
 from godwitthread.gateway.groups.member_group import (
     BUSY_PAUSE_MS,
@@ -42,6 +43,7 @@
 
     def _write(self, req: RunRequest, deadline_ms: int) -> Result:
         hold_ms = self._hold_until(req)
+        usage = Operation(req.organisation, self.count_usage)
         while True:
             granted = self._acquire(req, None, min(hold_ms, deadline_ms), primary=True)
             if isinstance(granted, Result):
@@ -52,6 +54,7 @@
                     continue
                 sent_ms, epoch = self._clock.now_ms(), self.epoch
                 reply = self._statement(conn, req, deadline_ms, None)
+            usage.ran(sent_ms, reply)
             self._finish(granted, conn, sent_ms, reply)
             if reply.refusal is None:
                 if not self.may_acknowledge(epoch):
@@ -66,6 +69,7 @@
     def _read(self, req: RunRequest, deadline_ms: int) -> Result:
         answers: eventlet.queue.LightQueue = eventlet.queue.LightQueue()
         hold_ms = self._hold_until(req)
+        usage = Operation(req.organisation, self.count_usage)
         tried: set[str] = set()
         pending = 0
         last: Result | None = None
@@ -79,7 +83,8 @@
                     work, member_id = granted
                     tried.add(member_id)
                     pending += 1
-                    eventlet.spawn_n(self._attempt, answers, work, member_id, req, deadline_ms)
+                    args = work, member_id, usage, req, deadline_ms
+                    eventlet.spawn_n(self._attempt, answers, *args)
             answer = self._next_answer(answers, tried, deadline_ms, pending)
             if answer is None:
                 if self._clock.now_ms() >= deadline_ms:
@@ -143,11 +148,12 @@
         answers: eventlet.queue.LightQueue,
         work: WorkItem,
         member_id: str,
+        usage: Operation,
         req: RunRequest,
         deadline_ms: int,
     ) -> None:
         try:
-            reply = self._try_read(work, member_id, req, deadline_ms)
+            reply = self._try_read(work, member_id, usage, req, deadline_ms)
         except Exception as exc:
             self._abandon(member_id, exc)
             reply = Reply(refusal=Refusal.FAILED, message='internal error')
@@ -155,7 +161,9 @@
             self._on_not_run(member_id, reply, work)
         answers.put((member_id, reply))
 
-    def _try_read(self, work: WorkItem, member_id: str, req: RunRequest, deadline_ms: int) -> Reply:
+    def _try_read(
+        self, work: WorkItem, member_id: str, usage: Operation, req: RunRequest, deadline_ms: int
+    ) -> Reply:
         conn = self._connect(member_id, req)
         if conn is None:
             return Reply(refusal=Refusal.UNREACHABLE)
@@ -169,10 +177,12 @@
             if reply.refusal is None:
                 self._record_evidence(member_id, sent_ms, epoch, reply)
                 reply = self._statement(conn, req, deadline_ms, None)
+                usage.ran(sent_ms, reply)
                 if not conn.closed:
                     conn.rollback(INTERNAL_TIMEOUT_MS)
         else:
             reply = self._statement(conn, req, deadline_ms, work.required)
+            usage.ran(sent_ms, reply)
             state = self.dispatcher.members.get(member_id)
             if reply.refusal is None and state is not None and member_id != self.last_primary:
                 state.record_applied(sent_ms, sent_ms - work.required_ms)
--- a/godwitthread/gateway/groups/transaction_runner.py
+++ b/godwitthread/gateway/groups/transaction_runner.py
@@ -13,6 +13,7 @@
     Result,
     failure,
 )
+from godwitthread.core.usage_windows import Operation
 from godwitthread.errors import ErrorKind
 from godwitthread.gateway.groups.member_group import BUSY_PAUSE_MS, INTERNAL_TIMEOUT_MS
 from godwitthread.gateway.groups.statement_runner import UNCONFIRMED, StatementRunner, success
@@ -35,6 +36,7 @@
     on_primary: bool
     #: Epoch of the group in which it was begun.
     epoch: int
+    usage: Operation
 
 
 class TransactionRunner(StatementRunner):
@@ -90,6 +92,7 @@
             sent_ms, reply = self._run_in(tx, req, deadline_ms, commit)
         finally:
             self._busy.discard(tx.conn)
+        tx.usage.ran(sent_ms, reply)
         tx.conn.used_ms = self._clock.now_ms()
         if tx.on_primary and reply.refusal is None and not self.may_acknowledge(tx.epoch):
             reply = Reply(refusal=Refusal.LOST, message=UNCONFIRMED)
@@ -152,7 +155,8 @@
             if reply.refusal is None:
                 if on_primary:
                     self._record_evidence(granted, sent_ms, epoch, reply)
-                return OpenTransaction(conn, granted, on_primary, epoch)
+                usage = Operation(req.organisation, self.count_usage)
+                return OpenTransaction(conn, granted, on_primary, epoch, usage)
             self._release(granted, conn)
             self._on_not_run(granted, reply)
 
