Let the next instance report usage while the first lacks store or platform

Cause: an instance that is first in the ranking but can't reach the store or the platform kept the duty, and windows were given up one after the other.

Change: after 2 s of failures it loses the duty and tells its peers; the next one takes it after LeaseMs, and gives it back later.

--- a/godwitthread/core/usage_windows.py
+++ b/godwitthread/core/usage_windows.py
@@ -257,11 +257,8 @@
                     _add(risen, window, name, value - known.get(name, 0))
                     known[name] = value
         name, incarnation = sender
-        former_run, former = self._settled.get(name, (0, settled))
-        if former_run == incarnation:
-            settled = max(settled, former)
-        if incarnation >= former_run:
-            self._settled[name] = incarnation, settled
+        former_run, former = self._settled.get(name, (0, -1))
+        self._settled[name] = incarnation, max(settled, former if former_run == incarnation else -1)
         return risen
 
     def total(self, window: int) -> dict[str, int]:
--- a/godwitthread/gateway/usage_collector.py
+++ b/godwitthread/gateway/usage_collector.py
@@ -239,8 +239,8 @@
 
     def hand_over(self) -> None:
         """Send the last counts before this process ends."""
-        self.duty.step(Standing.LEAVING)
-        threads = [
+        threads = [eventlet.spawn(self.duty.step, Standing.LEAVING)]
+        threads += [
             eventlet.spawn(self._send, name, self._receivers.get(name) or _Receiver(), MAX_NUMBER)
             for name in self._ranked()
             if name != self._name
--- a/godwitthread/gateway/usage_duty.py
+++ b/godwitthread/gateway/usage_duty.py
@@ -23,6 +23,9 @@
 
 #: Row that names the holder of the duty.
 USAGE_ROW = 'usage'
+#: Services that can fail.
+STORE = 'store'
+PLATFORM = 'platform'
 #: Time in ms for which the duty does not return to a former holder, where the settings give none.
 DEFAULT_LEASE_MS = 3_000
 #: Share of that time for which a holder may send after a write of the row. A successor waits for
@@ -33,9 +36,10 @@
 RETRY_MS = 250
 MAX_RETRY_MS = 2_000
 STORE_RETRY_MS = 1_000
-#: Time for which calls to the store must have failed until the next instance in the ranking tries,
-#: in ms, and the time for which it may, which doubles each time up to a maximum.
-STORE_FAILURE_MS = 2_000
+#: Time for which calls to the store, or to the platform, must have failed until the next instance
+#: in the ranking tries, in ms, and the time for which it may, which doubles each time up to a
+#: maximum.
+FAILURE_MS = 2_000
 STUCK_MS = 10_000
 MAX_STUCK_MS = 300_000
 #: Time limit of a report, in ms, and its maximum. It doubles with each attempt, in case the
@@ -97,7 +101,7 @@
 class UsageDuty:
     """Take the duty when this instance is first in its ranking, and report windows as the holder.
 
-    `step` is called by one thread; it may wait for the store and the platform.
+    `step` may wait for the store and the platform.
     """
 
     def __init__(
@@ -144,7 +148,9 @@
         self._next_ms = 0
         #: Whether the platform refused the last token.
         self._refused = False
-        self._failing_since_ms: int | None = None
+        #: Time of the first of successive failures of the store and of the platform.
+        self._failing_since_ms: dict[str, int] = {}
+        self._stepping = False
         self._stuck_until_ms = 0
         self._stuck_ms = STUCK_MS
 
@@ -160,7 +166,7 @@
 
     @property
     def stuck(self) -> bool:
-        """Return whether the next instance should take the duty, as this one lacks the store."""
+        """Return whether the next instance should try, as the store or the platform fails here."""
         return self._clock.now_ms() < self._stuck_until_ms
 
     @property
@@ -172,7 +178,16 @@
         self.closed = max(self.closed, window)
 
     def step(self, standing: Standing) -> None:
-        """Do what is due now."""
+        """Do what is due now, unless an earlier step still waits for an answer."""
+        if self._stepping:
+            return
+        self._stepping = True
+        try:
+            self._step(standing)
+        finally:
+            self._stepping = False
+
+    def _step(self, standing: Standing) -> None:
         now_ms = self._clock.now_ms()
         if standing in (Standing.FIRST, Standing.UNKNOWN):
             self._lower_since_ms = None
@@ -180,13 +195,13 @@
             self._lower_since_ms = now_ms
         if standing is not Standing.FIRST:
             self._seen = None
-        if standing is Standing.UNKNOWN or now_ms < self._next_ms and not self._must_end(standing):
+        if self.held and self._must_end(standing):
+            self._release()
+        elif standing is Standing.UNKNOWN or now_ms < self._next_ms:
             return
-        if not self.held:
+        elif not self.held:
             if standing is Standing.FIRST:
                 self._take_over(now_ms)
-        elif self._must_end(standing):
-            self._release()
         elif standing is not Standing.LOWER or self._open:
             self._report()
 
@@ -381,10 +396,13 @@
             delay_ms = min(MAX_RETRY_MS, RETRY_MS << min(self._attempts, 8))
             self._next_ms = self._clock.now_ms() + delay_ms
             self._attempts += 1
+            self._on_failure(PLATFORM)
 
     def _on_reported(self, row: UsageRow, true_ms: int) -> None:
         self._open = False
         self.close(row.window)
+        self._failing_since_ms.clear()
+        self._stuck_until_ms, self._stuck_ms = 0, STUCK_MS
         self.reported += 1
         done_ms = self._usage.true_ms() or true_ms
         self.late += done_ms > self._terms.deadline_ms(row.window)
@@ -407,13 +425,13 @@
         started_ms = self._clock.now_ms()
         content = msgspec.json.encode(row)
         self._revision = self._ports.store().put(DUTY_TABLE, USAGE_ROW, content, revision)
-        self._failing_since_ms, self._stuck_until_ms, self._stuck_ms = None, 0, STUCK_MS
+        self._failing_since_ms.pop(STORE, None)
         self._row, self.fixed = row, row.window
         self._send_until_ms = started_ms + int(SEND_SHARE * self._lease_ms)
 
     def _read(self) -> SeenRow:
         content = self._ports.store().table(DUTY_TABLE)
-        self._failing_since_ms = None
+        self._failing_since_ms.pop(STORE, None)
         for stored in content.rows:
             if stored.key == USAGE_ROW and stored.value is not None:
                 row = _decode(stored.value)
@@ -429,17 +447,19 @@
         return SeenRow(None, 0, content.revision, self._clock.now_ms())
 
     def _on_store_failure(self, exc: ProxyError) -> None:
-        now_ms = self._clock.now_ms()
-        self._next_ms = now_ms + STORE_RETRY_MS
+        self._next_ms = self._clock.now_ms() + STORE_RETRY_MS
         self._log.failure('store_unavailable', table=DUTY_TABLE, reason=exc.message)
-        if self._failing_since_ms is None:
-            self._failing_since_ms = now_ms
-        if now_ms - self._failing_since_ms < STORE_FAILURE_MS or self.stuck:
+        self._on_failure(STORE)
+
+    def _on_failure(self, service: str) -> None:
+        now_ms = self._clock.now_ms()
+        since_ms = self._failing_since_ms.setdefault(service, now_ms)
+        if now_ms - since_ms < FAILURE_MS or self.stuck:
             return
         self._stuck_until_ms = now_ms + self._stuck_ms
         self._stuck_ms = min(MAX_STUCK_MS, 2 * self._stuck_ms)
         if self.held:
-            self._lose('the store is not reachable')
+            self._lose(f'the {service} is not reachable')
 
 
 def _decode(value: bytes) -> UsageRow | None:
--- a/tests/test_usage/cluster.py
+++ b/tests/test_usage/cluster.py
@@ -53,7 +53,8 @@
         self.revision = 7
         self.calls: Counter[str] = Counter()
         #: Outcome of the next writes of the store and calls of the platform: 'down' does nothing,
-        #: 'lost' has its effect without an answer, 'late' has it after 2 s.
+        #: 'lost' has its effect without an answer, 'late' has it after 2 s, and 'suspend' suspends
+        #: the calling process for 4 s before it is sent.
         self.store_script: list[str] = []
         self.platform_script: list[str] = []
         self.store_down = self.platform_down = False
@@ -71,6 +72,12 @@
     def true_ms(self) -> int:
         return START_MS + self.now_ms
 
+    def restart(self, name: str) -> None:
+        """Replace an instance by its next process, which knows nothing."""
+        former = self.instances[name]
+        former.alive = False
+        self.instances[name] = Instance(self, name, former.peer.incarnation + 1)
+
     def run(self, duration_ms: int, load: bool = True) -> None:
         """Let time pass in steps; each instance runs requests."""
         for _ in range(duration_ms // TICK_MS):
@@ -78,7 +85,7 @@
             for due in [each for each in self.late if each.due_ms <= self.now_ms]:
                 self.late.remove(due)
                 self.ledger.post(self.true_ms(), *due.report[:4])
-            for instance in self.instances.values():
+            for instance in list(self.instances.values()):
                 if instance.alive and not instance.frozen:
                     instance.step(load)
             eventlet.sleep(0)
@@ -107,6 +114,12 @@
 
     # Store and platform
 
+    def suspend(self, name: str) -> None:
+        instance = self.instances[name]
+        instance.frozen = True
+        self.run(4_000)
+        instance.frozen = False
+
     def table(self, table: str) -> StoredRows:
         self.calls['read'] += 1
         if self.store_down:
@@ -127,10 +140,13 @@
         return self.revision
 
     def post(self, report: UsageReport, timeout_ms: int) -> UsageResult:
+        outcome = self.platform_script.pop(0) if self.platform_script else ''
+        if outcome == 'suspend':
+            self.suspend(report.holder)
         if not report.may_send():
             return UsageResult.NOT_SENT
-        outcome = self.platform_script.pop(0) if self.platform_script else ''
-        if self.platform_down or outcome == 'down':
+        cut = self.instances[report.holder].platform_cut
+        if cut or self.platform_down or outcome == 'down':
             return UsageResult.FAILED
         if outcome == 'late':
             self.late.append(Late(self.now_ms + 2_000, report))
@@ -150,7 +166,7 @@
         #: Names of the instances that it does not reach.
         self.cut: set[str] = set()
         self.wall_error_ms = 0
-        self.store_cut = False
+        self.store_cut = self.platform_cut = False
         self.peer = Peer(name, Address('10.0.0.1', 80), 'd1', 1.0, incarnation)
         clock = Clock(lambda: cluster.now_ms / 1000, lambda: self.wall_ms() / 1000)
         ports = Ports(
@@ -229,6 +245,10 @@
         return self._own.cluster.table(table)
 
     def put(self, *args: Any) -> int:
+        script = self._own.cluster.store_script
+        if script[:1] == ['suspend']:
+            script.pop(0)
+            self._own.cluster.suspend(self._own.peer.name)
         self._check()
         return self._own.cluster.put(*args)
 
--- a/tests/test_usage/test_usage_reports.py
+++ b/tests/test_usage/test_usage_reports.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.test_usage.cluster import START_MS, TERMS, Cluster, Instance
+from tests.test_usage.cluster import START_MS, TERMS, Cluster
 
 FIRST = TERMS.window(START_MS)
 
@@ -49,7 +49,7 @@
     assert len(cluster.wrong_windows(FIRST, last)) <= 4
 
 
-@pytest.mark.parametrize('outcome', ['lost', 'late', 'down'])
+@pytest.mark.parametrize('outcome', ['lost', 'late', 'down', 'suspend'])
 @pytest.mark.parametrize('at', ['store_script', 'platform_script'])
 def test_a_call_without_an_answer_is_repeated_exactly(at, outcome):
     """Guard against a second report of a window with other counts after a lost answer."""
@@ -57,7 +57,7 @@
         return
     cluster = Cluster()
     cluster.run(10_000)
-    getattr(cluster, at).extend([outcome] * 3)
+    getattr(cluster, at).extend([outcome] * (1 if outcome == 'suspend' else 3))
     cluster.run(30_000)
     assert cluster.ledger.violations == []
     assert cluster.wrong_windows(FIRST, TERMS.window(cluster.true_ms()) - 2) == []
@@ -111,14 +111,15 @@
     assert cluster.wrong_windows(last - 3, last) == []
 
 
-def test_the_next_instance_reports_while_the_first_lacks_the_store():
-    """Guard against windows that are missing because one instance can't reach the store."""
+@pytest.mark.parametrize('service', ['store_cut', 'platform_cut'])
+def test_the_next_instance_reports_while_a_service_fails_for_the_first(service):
+    """Guard against windows that are missing because one instance lacks store or platform."""
     cluster = Cluster()
     cluster.run(12_000)
     former = cluster.instances[cluster.holder()]
-    former.store_cut = True
+    setattr(former, service, True)
     cluster.run(60_000)
-    former.store_cut = False
+    setattr(former, service, False)
     cluster.run(30_000)
     assert cluster.ledger.violations == []
     assert cluster.wrong_windows(FIRST, TERMS.window(cluster.true_ms()) - 2) == []
@@ -177,7 +178,7 @@
     former.collector.hand_over()
     former.alive = False
     cluster.run(1_000)
-    cluster.instances[former.peer.name] = Instance(cluster, former.peer.name, 2)
+    cluster.restart(former.peer.name)
     cluster.run(30_000)
     assert cluster.ledger.violations == []
     # It is first in the ranking again, and got the duty back.
