--- a/godwitthread/standin/usage.py
+++ b/godwitthread/standin/usage.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import json
+import time
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from godwitthread.loop import eventlet
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Iterable
+
+    from godwitthread.standin.rows import PromotionEndpoint
 
 
 class _Act(NamedTuple):
@@ -68,30 +71,25 @@
 
 
 class UsageEndpoint:
-    """Serve the usage call, and pass all other calls on."""
+    """Serve the usage call, and pass all other calls on to the promotion endpoint."""
 
-    def __init__(
-        self, ledger: UsageLedger, wall_ms: Callable[[], int], other: Callable[..., Iterable[bytes]]
-    ) -> None:
-        self.ledger = ledger
-        #: Whether answers are delayed by 30 s after the call took effect.
-        self.silent = False
-        self._wall_ms = wall_ms
-        self._other = other
+    def __init__(self, ledger: UsageLedger, promotions: PromotionEndpoint) -> None:
+        self._ledger = ledger
+        self._promotions = promotions
 
     def application(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
         """Serve the platform's calls as a WSGI application."""
         if environ['PATH_INFO'] != '/usage':
-            return self._other(environ, start_response)
+            return self._promotions.application(environ, start_response)
         body = json.loads(environ['wsgi.input'].read())
-        status = self.ledger.post(
-            self._wall_ms(),
+        status = self._ledger.post(
+            time.time_ns() // 1_000_000,
             body['WindowId'],
             body['Counts'],
             environ['HTTP_GODWITTHREAD_DUTY_HOLDER'],
             int(environ['HTTP_GODWITTHREAD_FENCING_TOKEN']),
         )
-        if self.silent:
+        if self._promotions.silent:
             eventlet.sleep(30)
         start_response(f'{status} -', [('Content-Length', '0')])
         return [b'']
--- a/tests/test_platform/world.py
+++ b/tests/test_platform/world.py
@@ -27,6 +27,7 @@
 from godwitthread.sockets import connect, listen  # noqa: E402
 from godwitthread.standin.line_member import LineGroup, LineMember  # noqa: E402
 from godwitthread.standin.rows import PromotionEndpoint, RowStore, serve  # noqa: E402
+from godwitthread.standin.usage import UsageEndpoint, UsageLedger  # noqa: E402
 from tests.test_platform.proxy import Proxy  # noqa: E402
 
 if TYPE_CHECKING:
@@ -42,6 +43,8 @@
 #: Time after which a configuration must be in effect, in ms, including the pause of a process.
 CONFIGURATION_DEADLINE_MS = 6_000
 ANSWER_TIMEOUT_S = 6
+#: Time within which the holder of a duty must not return to a former one, in ms.
+LEASE_MS = 3_000
 
 
 class AcknowledgedWrite(NamedTuple):
@@ -75,7 +78,9 @@
         self.groups = [self._group(number, seed, slots) for number in range(groups)]
         self.promotion_service = PromotionEndpoint(self._promote)
         self.store_proxies = [self._store_proxy(number) for number in range(instances)]
-        serve(self._address(0, 2, 8466), self.promotion_service.application)
+        self.usage = UsageLedger(fence=False, lease_ms=LEASE_MS)
+        platform = UsageEndpoint(self.usage, self.promotion_service)
+        serve(self._address(0, 2, 8466), platform.application)
         self.version = 0
         #: Times at which the store accepted the versions, by version.
         self.accepted_ms: dict[int, int] = {}
@@ -245,9 +250,14 @@
             'Listen': {'Front': f'{host}:8465', 'Ready': f'{host}:8460'},
             'InternalPortRange': [7560, 7575],
             'Limits': {'CpuShare': 0.5, 'Cores': 2, 'LinkMbps': 1000.0},
-            'Bounds': {'GraceS': 6},
+            'Bounds': {
+                'GraceS': 6,
+                'LeaseMs': LEASE_MS,
+                'ReportWindowS': 2,
+                'UsageDelayS': 8,
+            },
             'platform': {'Addr': str(self.store_proxies[number].address)},
-            'Cloud': {'Addr': str(self._address(0, 2, 8466))},
+            'Cloud': {'Addr': str(self._address(0, 2, 8466)), 'Duties': ['usage_report']},
         }
 
     # Callers
@@ -376,6 +386,9 @@
         tokens = [(group, token) for group, _, holder, token, _ in self.promotion_service.orders]
         for group_name, token in {each for each in tokens if tokens.count(each) > 1}:
             self.violations.append(f'fencing token {token} used twice for {group_name}')
+        self.violations += self.usage.violations
+        if not self.usage.accepted:
+            self.violations.append('no usage was reported')
         self._check_rate()
 
     def _check_rate(self) -> None:
