Repeat an order of a promotion that reached nobody after 0.3 s

After the store's return another instance took the duty at the same moment as the owner of the group, whose order failed; the owner waited 1.5 s before each repeat, so that the group had no primary for 3 s longer than needed (7.1 to 10.0 s).

Change: an order that certainly reached neither the holder nor the platform is repeated after 300 ms. Planned hand-overs and orders that may have been sent keep their intervals. The test that set the interval to zero sets the new one; its assertions are unchanged.

--- a/godwitthread/gateway/groups/failover.py
+++ b/godwitthread/gateway/groups/failover.py
@@ -44,6 +44,9 @@
         ErrorKind.STORE_UNKNOWN,
     }
 )
+#: Delay before an order that certainly reached nobody is repeated, in ms: the store may be back,
+#: or another instance may have taken the promotion duty since. It bounds the reads of the store.
+UNDELIVERED_RETRY_MS = 300
 #: Poll interval of awaited conditions, in ms.
 POLL_MS = 20
 #: Delay between two planned failovers of the same primary, in ms.
@@ -131,6 +134,7 @@
             return
         started_ms = self._clock.now_ms()
         fenced = False
+        gap_ms = PLANNED_RETRY_MS if planned else PROMOTION_ORDER_INTERVAL_MS
         # No new work may reach a primary that has failed or is about to hand over.
         self._runner.pause_primary_work(True)
         try:
@@ -171,7 +175,10 @@
                 took_ms=took_ms,
             )
         except ProxyError as exc:
-            self._order_pending = self._order_pending and exc.kind not in UNDELIVERED_ORDER_KINDS
+            undelivered = exc.kind in UNDELIVERED_ORDER_KINDS
+            if self._order_pending and undelivered and not planned:
+                gap_ms = UNDELIVERED_RETRY_MS
+            self._order_pending = self._order_pending and not undelivered
             self._log.failure(
                 'promotion_failed', group=self._runner.name, reason=reason, detail=exc.message
             )
@@ -185,7 +192,6 @@
                 self._runner.lease.end_exclusive(former)
                 self._runner.end_fence()
             self._runner.pause_primary_work(False)
-            gap_ms = PLANNED_RETRY_MS if planned else PROMOTION_ORDER_INTERVAL_MS
             self._next_ms = self._clock.now_ms() + gap_ms
             self._running = False
 
--- a/tests/test_gateway/test_failover.py
+++ b/tests/test_gateway/test_failover.py
@@ -58,6 +58,34 @@
     assert made.run('a', request('WRITE i x')).receipt == 'receipt-m2'
 
 
+@pytest.mark.parametrize('kind', sorted(failover.UNDELIVERED_ORDER_KINDS, key=str))
+def test_an_order_that_reached_nobody_is_repeated_soon(world, kind):
+    """Guard against a group that stays without a primary after the store has come back.
+
+    The store was down, or another instance took the promotion duty at the same moment.
+    """
+    group, made, over, orders = world
+    made.run('a', request('READ i'))
+    deliver, time_ms = over._order, [Clock().now_ms()]
+    over._clock = Clock(lambda: time_ms[0] / 1000)
+
+    def refuse(_):
+        over._order = deliver
+        raise ProxyError(kind, 'nothing was sent')
+
+    over._order = refuse
+    group.unreachable.add('m0')
+    made.pools['m0'].refused_since_ms = 1
+    run_failover(over)
+    assert orders == []
+    time_ms[0] += failover.UNDELIVERED_RETRY_MS - 1
+    run_failover(over)
+    assert orders == []
+    time_ms[0] += 1
+    run_failover(over)
+    assert len(orders) == 1
+
+
 def test_an_owner_that_others_do_not_agree_on_replaces_no_primary(world):
     """Guard against two owners that promote in turn while failure domains are apart.
 
@@ -129,7 +157,7 @@
 def test_work_resumes_after_a_failed_order_which_is_retried(world, monkeypatch):
     """Guard against work for the primary that stays paused after a failed order."""
     group, made, over, orders = world
-    monkeypatch.setattr(failover, 'PROMOTION_ORDER_INTERVAL_MS', 0)
+    monkeypatch.setattr(failover, 'UNDELIVERED_RETRY_MS', 0)
     made.run('a', request('READ i'))
     made.pools['m0'].refused_since_ms = 1
     working_order, over._order = over._order, _fail
