Decide by expected time whether a statement leaves its failure domain

Cause: nothing considers failure domains when a member is chosen, so that about two thirds of the statements cross between them.

Change: core/scheduling/placement.py compares the expected time to the answer at each member in ms: wait for a slot, opening a connection, round trip, the preference for replicas, and the price of a crossing (GODWITTHREAD_CROSSING_COST_MS). Statements are kept for a local member only while another domain gains less than the price, and no longer than expected. The share of statements that leave for a small gain follows the figures over two heartbeats. Round trips are measured on renewals of leases. Without the setting, members are chosen as before.

--- a/godwitthread/core/scheduling/dispatch.py
+++ b/godwitthread/core/scheduling/dispatch.py
@@ -5,14 +5,17 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from godwitthread.core.scheduling.member_state import MemberState, WorkItem
+from godwitthread.core.scheduling.placement import (
+    PRIMARY_READ_PENALTY,
+    Choice,
+    Placement,
+    Reason,
+    place,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-#: Load added to the primary when a member is chosen for a read, as a share of its slots,
-#: because writes can run only there.
-PRIMARY_READ_PENALTY = 0.5
-
 
 class Rejection(NamedTuple):
     """Statement that cannot start before its deadline, with a retry delay."""
@@ -26,6 +29,8 @@
 
     work: WorkItem
     member: str
+    #: Reason for which the statement leaves this failure domain, None if it does not.
+    reason: Reason | None = None
 
 
 class Dispatcher:
@@ -35,6 +40,8 @@
         self.members: dict[str, MemberState] = {}
         #: Primary, None while there is none or a switchover is in progress.
         self.primary: str | None = None
+        #: Decides which statements leave this failure domain, None if domains do not matter.
+        self.placement: Placement | None = None
         self._waiting: dict[int, WorkItem] = {}
 
     def __len__(self) -> int:
@@ -53,6 +60,8 @@
 
     def cancel(self, number: int) -> bool:
         """Remove a waiting statement; return False if it was already assigned."""
+        if self.placement is not None:
+            self.placement.forget(number)
         return self._waiting.pop(number, None) is not None
 
     def expected_wait_ms(self, now_ms: int, work: WorkItem) -> float:
@@ -79,15 +88,18 @@
             return []
         free = {member.id: member for member in self.members.values() if member.can_accept(now_ms)}
         assigned: list[Assignment] = []
+        if self.placement is not None:
+            self.placement.begin_round()
         for work in sorted(self._waiting.values(), key=lambda work: _sort_key(now_ms, work)):
             if not free:
                 break
-            member = self._choose_member(now_ms, work, free)
+            chosen = self._choose_member(now_ms, work, free)
+            member = free.get(chosen.member or '')
             if member is None:
                 continue
-            del self._waiting[work.number]
+            self.cancel(work.number)
             member.record_sent(now_ms)
-            assigned.append(Assignment(work, member.id))
+            assigned.append(Assignment(work, member.id, chosen.reason))
             if not member.can_accept(now_ms):
                 del free[member.id]
         return assigned
@@ -114,13 +126,19 @@
             for member in self.members.values()
             if (each := member.expected_applied_ms(now_ms, work.required_ms)) > now_ms
         ]
+        if self.placement is not None and (kept_ms := self.placement.next_change_ms()):
+            times.append(kept_ms)
         return max(now_ms + 1, min(times))
 
-    def _choose_member(
-        self, now_ms: int, work: WorkItem, free: dict[str, MemberState]
-    ) -> MemberState | None:
+    def _choose_member(self, now_ms: int, work: WorkItem, free: dict[str, MemberState]) -> Choice:
         if work.primary:
-            return free.get(self.primary or '')
+            if self.placement is not None and self.primary not in free:
+                self.placement.record_waiting(self.primary or '')
+            return Choice(self.primary)
+        if self.placement is not None:
+            members = self.members.values()
+            places = [place(now_ms, member, work, self.primary) for member in members]
+            return self.placement.choose(now_ms, work, places)
         eligible = [
             member
             for member in free.values()
@@ -128,7 +146,7 @@
             and (member.id == self.primary or member.has_applied(now_ms, work))
         ]
         # Only the primary can run writes, so reads prefer the replicas.
-        return min(
+        best = min(
             eligible,
             key=lambda member: (
                 member.cost(now_ms, work.organisation)
@@ -138,6 +156,7 @@
             ),
             default=None,
         )
+        return Choice(best.id if best else None)
 
 
 def _sort_key(now_ms: int, work: WorkItem) -> tuple[bool, int, int, int]:
--- a/godwitthread/core/scheduling/member_state.py
+++ b/godwitthread/core/scheduling/member_state.py
@@ -65,6 +65,7 @@
     def __init__(self, member_id: str, slots: int) -> None:
         self.id = member_id
         self.slots = slots
+        self.failure_domain = ''
         #: Whether the member accepts new statements: not draining, evacuated or removed.
         self.usable = True
         #: Start times of the unanswered statements, in ms; the time to open a connection
@@ -102,6 +103,11 @@
             return False
         return self.load(now_ms) < self.slots + EXTRA_IN_FLIGHT
 
+    def is_full(self, now_ms: int) -> bool:
+        """Return whether the member accepts another statement once one of its slots is free."""
+        available = self.usable and now_ms >= self.paused_until_ms
+        return available and self.load(now_ms) >= self.slots + EXTRA_IN_FLIGHT
+
     @property
     def running(self) -> int:
         """Return the number of unanswered statements."""
--- a/godwitthread/gateway/authority_manager.py
+++ b/godwitthread/gateway/authority_manager.py
@@ -126,6 +126,8 @@
         self._renewed_ms = 0
         self._renewed_groups: set[str] = set()
         self._votes = True
+        #: Takes the name of a voter and the time that it took to answer, in ms.
+        self.on_answer: Callable[[str, int], None] = lambda *_: None
 
     def add(self, group: str) -> GroupLease:
         """Return the leases on the primary of a group of the configuration."""
@@ -211,6 +213,7 @@
         except (ProxyError, msgspec.DecodeError) as exc:
             self._log.failure('peer_lost', peer=name, reason=str(exc))
             return
+        self.on_answer(name, self._clock.now_ms() - sent_ms)
         self._record(sent_ms, name, request, answer)
 
     def _record(self, sent_ms: int, voter: str, request: ClaimRequest, answer: ClaimAnswer) -> None:
--- a/godwitthread/gateway/groups/member_group.py
+++ b/godwitthread/gateway/groups/member_group.py
@@ -428,6 +428,7 @@
     def _add(self, now_ms: int, member: Member) -> None:
         self._drop(member.id)
         state = MemberState(member.id, member.slots)
+        state.failure_domain = member.failure_domain
         state.cold_until_ms = now_ms + member.cold_ms
         self.dispatcher.members[member.id] = state
         limit = self._group.connection_limit if self._group else 1
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -21,6 +21,7 @@
 from godwitthread.errors import ErrorKind, ProxyError
 from godwitthread.gateway import link_server, links
 from godwitthread.gateway.authority_manager import AuthorityManager, ClaimRequest
+from godwitthread.gateway.crossings import Crossings
 from godwitthread.gateway.duty_router import DutyRouter
 from godwitthread.gateway.frames import FrameStream, HeartbeatStatus, Hello
 from godwitthread.gateway.grant_router import GrantRouter
@@ -67,7 +68,15 @@
 class Node:
     """Serve sessions and own groups as one instance of a deployment."""
 
-    def __init__(self, peer: Peer, clock: Clock, ports: Ports, log: Log, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        peer: Peer,
+        clock: Clock,
+        ports: Ports,
+        log: Log,
+        metrics: Metrics,
+        crossing_cost_ms: float | None = None,
+    ) -> None:
         self.peer = peer
         self.clock = clock
         self.log = log
@@ -120,6 +129,10 @@
             self._on_lease_granted,
             log,
         )
+        self.crossings = Crossings(
+            peer.failure_domain, crossing_cost_ms, clock, lambda: self.view.peers
+        )
+        self.authority.on_answer = self.crossings.record_round_trip
         self.calls = self._call_handlers()
         self._threads: list[Any] = []
         self._organisations: dict[str, Organisation] = {}
@@ -334,6 +347,7 @@
         if runner is None:
             lease = self.authority.add(name)
             runner = GroupRunner(name, self.clock, self._ports, self.log, self._admit, lease)
+            runner.dispatcher.placement = self.crossings.placement()
             failover = Failover(
                 runner,
                 self.clock,
--- a/godwitthread/platform/gateway_process.py
+++ b/godwitthread/platform/gateway_process.py
@@ -85,7 +85,7 @@
             promote=partial(promotion.promote, settings.promotion_address),
         )
         metrics = Metrics()
-        self.node = Node(peer, self.clock, ports, self._log, metrics)
+        self.node = Node(peer, self.clock, ports, self._log, metrics, settings.crossing_cost_ms)
         metrics.gauge('godwitthread_sessions', 'Open sessions', lambda: len(self.node.sessions))
         metrics.gauge('godwitthread_owned_groups', 'Groups owned', self.node.owned_groups)
         metrics.gauge(
--- a/godwitthread/platform/settings.py
+++ b/godwitthread/platform/settings.py
@@ -15,6 +15,10 @@
 
 #: Environment variable with the path of the settings file.
 CONFIG_PATH_VARIABLE = 'GODWITTHREAD_CONFIG'
+#: Environment variable with the price of a crossing between failure domains, in ms.
+CROSSING_COST_VARIABLE = 'GODWITTHREAD_CROSSING_COST_MS'
+#: Upper bound of that price; a statement waits no longer than its deadline for it.
+MAX_CROSSING_COST_MS = 60_000
 #: Upper bounds of the cores and the link of a machine, and of its grace period.
 MAX_CORES = 10_000
 MAX_LINK_MBPS = 10**7
@@ -43,6 +47,9 @@
     link_mbps: float
     #: Grace period between SIGTERM and SIGKILL, in ms.
     grace_ms: int
+    #: Time that a crossing between failure domains must save, in ms; None if failure domains are
+    #: not considered.
+    crossing_cost_ms: float | None = None
 
 
 def load(environ: Mapping[str, str]) -> NodeSettings:
@@ -53,7 +60,21 @@
     except (OSError, ValueError, RecursionError) as exc:
         error = ProxyError(ErrorKind.SETTING_INVALID, f'{CONFIG_PATH_VARIABLE} {path!r}: {exc}')
         raise ExceptionGroup('invalid settings', [error]) from exc
-    return parse(data)
+    return parse(data)._replace(crossing_cost_ms=_crossing_cost_ms(environ))
+
+
+def _crossing_cost_ms(environ: Mapping[str, str]) -> float | None:
+    text = environ.get(CROSSING_COST_VARIABLE, '')
+    if not text:
+        return None
+    try:
+        cost_ms = float(text)
+        if not 0 <= cost_ms <= MAX_CROSSING_COST_MS:
+            raise ValueError(f'{text} is not between 0 and {MAX_CROSSING_COST_MS}')
+    except ValueError as exc:
+        error = ProxyError(ErrorKind.SETTING_INVALID, f'{CROSSING_COST_VARIABLE}: {exc}')
+        raise ExceptionGroup('invalid settings', [error]) from exc
+    return cost_ms
 
 
 def parse(data: Any) -> NodeSettings:
--- a/tests/test_platform/test_settings.py
+++ b/tests/test_platform/test_settings.py
@@ -87,3 +87,24 @@
         'runpy.run_module("godwitthread.platform", run_name="__main__")\n'
     )
     assert subprocess.run([sys.executable, '-c', code]).returncode == 7
+
+
+@pytest.mark.parametrize(('text', 'cost_ms'), [(None, None), ('', None), ('0', 0.0), ('7.5', 7.5)])
+def test_the_price_of_a_crossing_is_optional(tmp_path, text, cost_ms):
+    """Guard against failure domains that are considered, or not, against the operators' wish."""
+    path = tmp_path / 'node.json'
+    path.write_text(json.dumps(NODE))
+    variables = {'GODWITTHREAD_CONFIG': str(path)}
+    if text is not None:
+        variables['GODWITTHREAD_CROSSING_COST_MS'] = text
+    assert settings.load(variables).crossing_cost_ms == cost_ms
+
+
+@pytest.mark.parametrize('text', ['-1', 'nan', 'inf', '10 ms', '60001'])
+def test_an_invalid_price_of_a_crossing_is_rejected(tmp_path, text):
+    """Guard against an instance that decides by a price which no operator set."""
+    path = tmp_path / 'node.json'
+    path.write_text(json.dumps(NODE))
+    variables = {'GODWITTHREAD_CONFIG': str(path), 'GODWITTHREAD_CROSSING_COST_MS': text}
+    with pytest.raises(ExceptionGroup):
+        settings.load(variables)
