Prefer owners of groups in the failure domain of the primary

Cause: the owner of a group is chosen by a hash, so that two thirds of the statements for the primary cross from the owner to it, besides those that cross to the owner.

Change: where GODWITTHREAD_CROSSING_COST_MS is set, candidates of sufficient capacity in the home domain of the group rank first. The home is the domain of the primary according to the store; it moves once the primary has stayed elsewhere for 30 s, twice the time that a failed domain has to recover, because a change of the owner opens all connections anew. Members renew their entries all the time, so that no time of a promotion follows from the store; an instance that starts or was suspended takes the times over from another (call `homes`, empty answer or NOT_FOUND otherwise). While instances disagree, a statement that is answered as moved goes on to the owner in the next domain without a pause; the former owner runs what it gets for 2 s; during a release of the setting the owner by the hash serves the instances without it.

--- a/godwitthread/core/ownership.py
+++ b/godwitthread/core/ownership.py
@@ -78,16 +78,25 @@
     return chosen
 
 
-def ranked(resource: str, peers: Sequence[Peer], eligible_names: Collection[str]) -> list[str]:
+def ranked(
+    resource: str,
+    peers: Sequence[Peer],
+    eligible_names: Collection[str],
+    domains: Sequence[str] = (),
+) -> list[str]:
     """Return the names of the eligible candidates in the order in which they own a resource.
 
     Slow instances own resources only if no fast one is eligible, since all statements of
-    a group pass through its owner.
+    a group pass through its owner. Among instances of sufficient capacity, those in the given
+    failure domains come first, in the order of the domains.
     """
     names = [peer.name for peer in peers if peer.name in eligible_names]
     min_capacity = MIN_CAPACITY_SHARE * max((peer.capacity for peer in peers), default=0.0)
     slow = {peer.name for peer in peers if peer.capacity < min_capacity}
-    return sorted(rendezvous.ranked(resource, names), key=lambda name: name in slow)
+    rank = {domain: number for number, domain in enumerate(domains)}
+    distance = {peer.name: rank.get(peer.failure_domain, len(rank)) for peer in peers}
+    order = rendezvous.ranked(resource, names)
+    return sorted(order, key=lambda name: (name in slow, distance[name]))
 
 
 def eligible(names: Iterable[str], reach: Mapping[str, PeerReachability]) -> list[str]:
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -25,6 +25,7 @@
 from godwitthread.gateway.duty_router import DutyRouter
 from godwitthread.gateway.frames import FrameStream, HeartbeatStatus, Hello
 from godwitthread.gateway.grant_router import GrantRouter
+from godwitthread.gateway.group_homes import GroupHomes, HomesRequest
 from godwitthread.gateway.groups.failover import Failover
 from godwitthread.gateway.groups.group_runner import TICK_MS, GroupRunner
 from godwitthread.gateway.isolation import run_all, traceback_logger
@@ -60,7 +61,8 @@
 #: Time without a majority after which idle sessions are ended, in ms, so that their callers connect
 #: to other instances.
 MINORITY_GRACE_MS = 400
-
+#: Errors of a call that had no effect.
+NOTHING_SENT = (ErrorKind.BACKEND_UNAVAILABLE, ErrorKind.MOVED)
 
 _results = msgspec.msgpack.Decoder(Result)
 
@@ -115,6 +117,9 @@
         self.ownership_manager = OwnershipManager(
             peer.name, clock, self._reach, self.rate_limiter, log
         )
+        self.homes = GroupHomes(
+            peer.name, clock, self.ownership_manager, self._links, crossing_cost_ms is not None
+        )
         self.reach_probe = ReachProbe(clock, self.ownership_manager, self._links)
         self.grant_router = GrantRouter(
             peer.name, self.ownership_manager, self.reach_probe, self.rate_limiter, self._links
@@ -209,14 +214,14 @@
         """Run a statement at the owner of its group, or at the instance with its transaction."""
         if holder is not None:
             return self._run_at_transaction_owner(req, holder), holder
-        started_ms = self.clock.now_ms()
+        started_ms, moved = self.clock.now_ms(), 0
         while True:
             now_ms = self.clock.now_ms()
             left = req._replace(
                 remaining_ms=req.remaining_ms - (now_ms - started_ms),
                 objective_ms=max(0, req.objective_ms - (now_ms - started_ms)),
             )
-            owner = self.ownership_manager.owner(f'group/{req.group}')
+            owner = self.homes.owner(req.group, moved)
             ownerless_ms = self._ownerless_ms(req.group, owner, now_ms)
             wait_ms = wait_limits.owner_wait_ms(req.remaining_ms, req.objective_ms, ownerless_ms)
             try:
@@ -224,7 +229,7 @@
                     raise ProxyError(ErrorKind.BACKEND_UNAVAILABLE, 'no instance owns the group')
                 return self._run_at(owner, left), owner
             except ProxyError as exc:
-                not_run = exc.kind in (ErrorKind.BACKEND_UNAVAILABLE, ErrorKind.MOVED)
+                not_run = exc.kind in NOTHING_SENT
                 if not not_run and not is_repeatable(req):
                     return unknown_outcome(req, exc.message), owner
                 over = self.clock.now_ms() + ROUTE_RETRY_MS >= started_ms + wait_ms
@@ -233,6 +238,9 @@
                         return failure(ErrorKind.CONNECTION_LOST, exc.message), owner
                     kind = ErrorKind.BACKEND_UNAVAILABLE
                     return failure(kind, exc.message, ROUTE_RETRY_MS, True), owner
+                moved += exc.kind is ErrorKind.MOVED
+                if exc.kind is ErrorKind.MOVED and self.homes.has_alternative(req.group, moved):
+                    continue
             eventlet.sleep(ROUTE_RETRY_MS / 1000)
 
     def _ownerless_ms(self, group: str, owner: str | None, now_ms: int) -> int:
@@ -246,8 +254,7 @@
     def _run_at(self, owner: str, req: RunRequest) -> Result:
         if owner == self.peer.name:
             return self._run_here(self._sender(), req)
-        link = self._links[owner]
-        return self._ask_result(link, req)
+        return self._ask_result(self._links[owner], req)
 
     def _ask_result(self, link: Link, req: RunRequest) -> Result:
         body = link.call('run', req, req.remaining_ms + CALL_SLACK_MS)
@@ -269,19 +276,15 @@
                 return Result(ended=True)
             return self._ask_result(link, req)
         except ProxyError as exc:
-            if req.action is Action.COMMIT and exc.kind not in (
-                ErrorKind.BACKEND_UNAVAILABLE,
-                ErrorKind.MOVED,
-            ):
-                return failure(ErrorKind.COMMIT_UNKNOWN, exc.message, ended=True)
-            # Without a COMMIT, no effect of the transaction persists.
-            return failure(ErrorKind.TRANSACTION_LOST, exc.message, ended=True)
+            if exc.kind in NOTHING_SENT:
+                return failure(ErrorKind.TRANSACTION_LOST, exc.message, ended=True)
+            return unknown_outcome(req, exc.message)
 
     def _run_here(self, sender: str, req: RunRequest) -> Result:
         runner = self.runners.get(req.group)
         if runner is None:
             raise ProxyError(ErrorKind.BACKEND_UNAVAILABLE, 'the group is unknown to this instance')
-        if req.first and self.ownership_manager.owner(f'group/{req.group}') != self.peer.name:
+        if req.first and not self.homes.owns(req.group, sender):
             raise ProxyError(ErrorKind.MOVED, 'another instance owns the group')
         self.ownership_manager.track_work(req.group)
         return runner.run(sender, req)
@@ -296,6 +299,7 @@
         calls = PeerCalls()
         calls.add('run', RunRequest, self._run_for_peer)
         calls.add('grant', GrantRequest, lambda _, req: self.grant_router.answer(req))
+        calls.add('homes', HomesRequest, self.homes.answer)
         calls.add('reach', ReachRequest, lambda _, req: self.reach_probe.answer(req))
         calls.add('order', OrderRequest, lambda _, req: self.duty_router.answer(req))
         calls.add('claim', ClaimRequest, self._answer_claim)
@@ -314,6 +318,7 @@
 
     def peer_ended(self, sender: str) -> None:
         """Roll back the open transactions of a peer whose connection ended."""
+        self.homes.forget_sender(sender)
         for runner in self.runners.values():
             runner.end_sender(sender)
 
@@ -359,9 +364,11 @@
             self.ownership_manager.add(name, ManagedGroup(runner, failover))
         members = {each.id: each for each in self.view.members.values() if each.group == name}
         runner.update(group, members, self.view.evacuated, cfg.tx_idle_ms)
+        self.homes.observe(name, members.values())
 
     def _remove_group(self, name: str) -> None:
         del self.runners[name]
+        self.homes.remove(name)
         self.ownership_manager.remove(name)
         self.authority.remove(name)
 
@@ -396,6 +403,7 @@
     def _on_link_change(self, name: str, up: bool) -> None:
         if up:
             self._eviction.set_reachable(name)
+            self.homes.introduce(name)
         else:
             self.authority.drop_voter(name)
             self.store_sync.forget_peer(name)
@@ -423,6 +431,7 @@
                 self.store_sync.tick,
                 self._update_ready_to_own,
                 self._end_sessions_in_minority,
+                self.homes.tick,
                 manager.reconcile,
                 lambda: self.authority.update_voters(manager.candidates),
                 lambda: self.authority.tick(manager.active_groups()),
@@ -477,13 +486,12 @@
     def _nearby_and_all_links(self) -> tuple[list[Link], list[Link]]:
         """Return the active links within this failure domain, and all active links."""
         links_up = [link for link in self._links.values() if link.up]
-        own = self.peer.failure_domain
-        return [link for link in links_up if link.peer.failure_domain == own], links_up
+        near = [each for each in links_up if each.peer.failure_domain == self.peer.failure_domain]
+        return near, links_up
 
     def _admit(self, organisation: str, wait_ms: int, hold_ms: int) -> int:
-        if organisation == ANONYMOUS:
-            return 0
-        return self.rate_limiter.admit(organisation, wait_ms, hold_ms)
+        free = organisation == ANONYMOUS
+        return 0 if free else self.rate_limiter.admit(organisation, wait_ms, hold_ms)
 
     def _organisation(self, name: str) -> Organisation | None:
         return self._organisations.get(name)
--- a/godwitthread/gateway/ownership_manager.py
+++ b/godwitthread/gateway/ownership_manager.py
@@ -12,10 +12,11 @@
 from godwitthread.loop import eventlet
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection, Sequence
 
     from godwitthread.clock import Clock
     from godwitthread.core.catalog import Peer
+    from godwitthread.core.home_domains import HomeDomains
     from godwitthread.core.ownership import PeerReachability
     from godwitthread.gateway.logs import Log
     from godwitthread.gateway.rate_limiter import RateLimiter
@@ -24,6 +25,8 @@
 #: Time for which the cached reachability of the peers is valid, in ms: two housekeeping intervals,
 #: each of which renews it, and a tenth of the silence that ends a link.
 REACHABILITY_CACHE_MS = 100
+#: Prefix of a resource that is a group.
+GROUP_PREFIX = 'group/'
 
 
 class ManagedGroup(NamedTuple):
@@ -71,6 +74,8 @@
         #: Groups that this instance owns.
         self.owned: set[str] = set()
         self._name = name
+        #: Failure domains in which the groups are owned, None if they do not matter.
+        self.homes: HomeDomains | None = None
         self._clock = clock
         self._reach = reach
         self._rate_limiter = rate_limiter
@@ -96,7 +101,7 @@
     def add(self, name: str, group: ManagedGroup) -> None:
         """Add a group of the configuration."""
         self._groups[name] = group
-        self._invalidate()
+        self.invalidate()
 
     def remove(self, name: str) -> None:
         """Remove a group that is no longer in the configuration."""
@@ -110,7 +115,7 @@
         if chosen != self.candidates:
             self.candidates = chosen
             self._candidate_names = frozenset(peer.name for peer in chosen)
-            self._invalidate()
+            self.invalidate()
         return chosen
 
     def active_groups(self) -> set[str]:
@@ -127,10 +132,15 @@
         if not inputs.majority:
             return None
         if resource not in self._owners:
-            order = ownership.ranked(resource, self.candidates, set(inputs.able))
+            order = self._ranked(resource, inputs.able)
             self._owners[resource] = next(iter(order), None)
         return self._owners[resource]
 
+    def first(self, resource: str, domains: Sequence[str]) -> str | None:
+        """Return the owner that results if the given failure domains are preferred."""
+        able = set(self._current_inputs().able)
+        return next(iter(ownership.ranked(resource, self.candidates, able, domains)), None)
+
     def agreed_owner(self, resource: str) -> AgreedOwner:
         """Return the owner that instances agree on even if some do not reach it.
 
@@ -141,7 +151,7 @@
             return AgreedOwner(None, False)
         if resource not in self._agreed:
             names = inputs.missing.union(inputs.able)
-            order = ownership.ranked(resource, self.candidates, names)
+            order = self._ranked(resource, names)
             in_use = inputs.indirect.union(inputs.able)
             name = next((each for each in order if each in in_use), None)
             before = order[: order.index(name) + 1] if name else order
@@ -165,7 +175,7 @@
         """Return the position of this instance in the order of the available candidates."""
         inputs = self._current_inputs()
         if resource not in self._ranks:
-            order = ownership.ranked(resource, self.candidates, set(inputs.able))
+            order = self._ranked(resource, inputs.able)
             self._ranks[resource] = order.index(self._name) if self._name in order else len(order)
         return self._ranks[resource]
 
@@ -229,7 +239,14 @@
         self._reach_read_ms = now_ms
         return inputs
 
-    def _invalidate(self) -> None:
+    def _ranked(self, resource: str, names: Collection[str]) -> list[str]:
+        domains: tuple[str, ...] = ()
+        if self.homes is not None and resource.startswith(GROUP_PREFIX):
+            domains = self.homes.preferred(resource.removeprefix(GROUP_PREFIX))
+        return ownership.ranked(resource, self.candidates, set(names), domains)
+
+    def invalidate(self) -> None:
+        """Determine all owners again, since the ranking changed."""
         self._inputs = self._reconciled_inputs = None
         self._clear_cache()
 
