--- a/godwitthread/gateway/groups/statement_runner.py
+++ b/godwitthread/gateway/groups/statement_runner.py
@@ -55,6 +55,7 @@
                 sent_ms, epoch = self._clock.now_ms(), self.epoch
                 reply = self._statement(conn, req, deadline_ms, None)
             usage.ran(sent_ms, reply)
+            self._count_traffic(granted, req, reply)
             self._finish(granted, conn, sent_ms, reply)
             if reply.refusal is None:
                 if not self.may_acknowledge(epoch):
@@ -186,6 +187,7 @@
             state = self.dispatcher.members.get(member_id)
             if reply.refusal is None and state is not None and member_id != self.last_primary:
                 state.record_applied(sent_ms, sent_ms - work.required_ms)
+        self._count_traffic(member_id, req, reply)
         self._finish(member_id, conn, sent_ms, reply)
         if on_primary and reply.refusal is None and not self.may_acknowledge(epoch):
             return Reply(refusal=Refusal.UNREACHABLE, message=UNCONFIRMED)
--- a/godwitthread/gateway/groups/transaction_runner.py
+++ b/godwitthread/gateway/groups/transaction_runner.py
@@ -117,6 +117,7 @@
                 reply = tx.conn.run(req.statement_id, req.text, self._left_ms(deadline_ms))
             else:
                 reply = self._statement(tx.conn, req, deadline_ms, None)
+            self._count_traffic(tx.member, req, reply)
             self._record_result(tx.member, sent_ms, reply)
             busy = reply.refusal is Refusal.BUSY and not tx.conn.closed
             if not busy or self._clock.now_ms() + BUSY_PAUSE_MS >= deadline_ms:
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -21,13 +21,16 @@
 from godwitthread.errors import ErrorKind, ProxyError
 from godwitthread.gateway import link_server, links, usage_collector
 from godwitthread.gateway.authority_manager import AuthorityManager, ClaimRequest
+from godwitthread.gateway.crossings import Crossings
 from godwitthread.gateway.duty_router import DutyRouter
 from godwitthread.gateway.frames import FrameStream, HeartbeatStatus, Hello
 from godwitthread.gateway.grant_router import GrantRouter
+from godwitthread.gateway.group_homes import GroupHomes, HomesRequest
 from godwitthread.gateway.groups.failover import Failover
 from godwitthread.gateway.groups.group_runner import TICK_MS, GroupRunner
 from godwitthread.gateway.isolation import run_all, traceback_logger
 from godwitthread.gateway.links import Link
+from godwitthread.gateway.options import Options
 from godwitthread.gateway.ownership_manager import ManagedGroup, OwnershipManager
 from godwitthread.gateway.peer_calls import PeerCalls
 from godwitthread.gateway.peer_eviction import PeerEviction
@@ -44,7 +47,6 @@
 if TYPE_CHECKING:
     from godwitthread.clock import Clock
     from godwitthread.core.catalog import Configuration, Group, Organisation, Peer
-    from godwitthread.core.rate_grants import RateTolerance
     from godwitthread.gateway.logs import Log
     from godwitthread.gateway.metrics import Metrics
     from godwitthread.gateway.ports import Ports
@@ -60,7 +62,8 @@
 #: Time without a majority after which idle sessions are ended, in ms, so that their callers connect
 #: to other instances.
 MINORITY_GRACE_MS = 400
-
+#: Errors of a call that had no effect.
+NOTHING_SENT = (ErrorKind.BACKEND_UNAVAILABLE, ErrorKind.MOVED)
 
 _results = msgspec.msgpack.Decoder(Result)
 
@@ -75,7 +78,7 @@
         ports: Ports,
         log: Log,
         metrics: Metrics,
-        tolerance: RateTolerance | None = None,
+        options: Options = Options(),  # noqa: B008 - immutable
     ) -> None:
         self.peer = peer
         self.clock = clock
@@ -106,7 +109,11 @@
             clock, lambda: self.view.configuration, self.run, log, metrics.observe
         )
         self.rate_limiter = RateLimiter(
-            clock, self._organisation, lambda *args: self.grant_router.ask(*args), log, tolerance
+            clock,
+            self._organisation,
+            lambda *args: self.grant_router.ask(*args),
+            log,
+            options.rate_tolerance,
         )
         self.duty = PromotionDuty(peer.name, peer.incarnation, ports, log, clock)
         self.runners: dict[str, GroupRunner] = {}
@@ -115,6 +122,13 @@
         self.ownership_manager = OwnershipManager(
             peer.name, clock, self._reach, self.rate_limiter, log
         )
+        self.homes = GroupHomes(
+            peer.name,
+            clock,
+            self.ownership_manager,
+            self._links,
+            options.crossing_cost_ms is not None,
+        )
         self.reach_probe = ReachProbe(clock, self.ownership_manager, self._links)
         self.grant_router = GrantRouter(
             peer.name, self.ownership_manager, self.reach_probe, self.rate_limiter, self._links
@@ -139,6 +153,15 @@
             self._reach,
             lambda: self.leaving,
         )
+        self.crossings = Crossings(
+            peer.failure_domain,
+            options.crossing_cost_ms,
+            clock,
+            lambda: self.view.peers,
+            log,
+            metrics,
+        )
+        self.authority.on_answer = self.crossings.record_round_trip
         self.calls = self._call_handlers()
         self._threads: list[Any] = []
         self._organisations: dict[str, Organisation] = {}
@@ -218,14 +241,14 @@
         """Run a statement at the owner of its group, or at the instance with its transaction."""
         if holder is not None:
             return self._run_at_transaction_owner(req, holder), holder
-        started_ms = self.clock.now_ms()
+        started_ms, moved = self.clock.now_ms(), 0
         while True:
             now_ms = self.clock.now_ms()
             left = req._replace(
                 remaining_ms=req.remaining_ms - (now_ms - started_ms),
                 objective_ms=max(0, req.objective_ms - (now_ms - started_ms)),
             )
-            owner = self.ownership_manager.owner(f'group/{req.group}')
+            owner = self.homes.owner(req.group, moved)
             ownerless_ms = self._ownerless_ms(req.group, owner, now_ms)
             wait_ms = wait_limits.owner_wait_ms(req.remaining_ms, req.objective_ms, ownerless_ms)
             try:
@@ -233,7 +256,7 @@
                     raise ProxyError(ErrorKind.BACKEND_UNAVAILABLE, 'no instance owns the group')
                 return self._run_at(owner, left), owner
             except ProxyError as exc:
-                not_run = exc.kind in (ErrorKind.BACKEND_UNAVAILABLE, ErrorKind.MOVED)
+                not_run = exc.kind in NOTHING_SENT
                 if not not_run and not is_repeatable(req):
                     return unknown_outcome(req, exc.message), owner
                 over = self.clock.now_ms() + ROUTE_RETRY_MS >= started_ms + wait_ms
@@ -242,6 +265,9 @@
                         return failure(ErrorKind.CONNECTION_LOST, exc.message), owner
                     kind = ErrorKind.BACKEND_UNAVAILABLE
                     return failure(kind, exc.message, ROUTE_RETRY_MS, True), owner
+                moved += exc.kind is ErrorKind.MOVED
+                if exc.kind is ErrorKind.MOVED and self.homes.has_alternative(req.group, moved):
+                    continue
             eventlet.sleep(ROUTE_RETRY_MS / 1000)
 
     def _ownerless_ms(self, group: str, owner: str | None, now_ms: int) -> int:
@@ -255,11 +281,11 @@
     def _run_at(self, owner: str, req: RunRequest) -> Result:
         if owner == self.peer.name:
             return self._run_here(self._sender(), req)
-        link = self._links[owner]
-        return self._ask_result(link, req)
+        return self._ask_result(self._links[owner], req)
 
     def _ask_result(self, link: Link, req: RunRequest) -> Result:
         body = link.call('run', req, req.remaining_ms + CALL_SLACK_MS)
+        self.crossings.record_call(link.peer.failure_domain, req, len(memoryview(body)))
         result: Result = links.decode_answer(_results, body)
         return result
 
@@ -278,19 +304,15 @@
                 return Result(ended=True)
             return self._ask_result(link, req)
         except ProxyError as exc:
-            if req.action is Action.COMMIT and exc.kind not in (
-                ErrorKind.BACKEND_UNAVAILABLE,
-                ErrorKind.MOVED,
-            ):
-                return failure(ErrorKind.COMMIT_UNKNOWN, exc.message, ended=True)
-            # Without a COMMIT, no effect of the transaction persists.
-            return failure(ErrorKind.TRANSACTION_LOST, exc.message, ended=True)
+            if exc.kind in NOTHING_SENT:
+                return failure(ErrorKind.TRANSACTION_LOST, exc.message, ended=True)
+            return unknown_outcome(req, exc.message)
 
     def _run_here(self, sender: str, req: RunRequest) -> Result:
         runner = self.runners.get(req.group)
         if runner is None:
             raise ProxyError(ErrorKind.BACKEND_UNAVAILABLE, 'the group is unknown to this instance')
-        if req.first and self.ownership_manager.owner(f'group/{req.group}') != self.peer.name:
+        if req.first and not self.homes.owns(req.group, sender):
             raise ProxyError(ErrorKind.MOVED, 'another instance owns the group')
         self.ownership_manager.track_work(req.group)
         return runner.run(sender, req)
@@ -305,9 +327,10 @@
         calls = PeerCalls()
         calls.add('run', RunRequest, self._run_for_peer)
         calls.add('grant', GrantRequest, lambda _, req: self.grant_router.answer(req))
+        calls.add('homes', HomesRequest, self.homes.answer)
         calls.add('reach', ReachRequest, lambda _, req: self.reach_probe.answer(req))
         calls.add('order', OrderRequest, lambda _, req: self.duty_router.answer(req))
-        calls.add('claim', ClaimRequest, self._answer_claim)
+        calls.add('claim', ClaimRequest, self.authority.answer_peer)
         calls.add('view', ViewRequest, lambda _, req: self.store_sync.peers.answer(req))
         if self.usage:
             calls.add(usage_collector.RESOURCE, usage_collector.UsageMessage, self.usage.receive)
@@ -320,11 +343,9 @@
         finally:
             self.peer_statements -= 1
 
-    def _answer_claim(self, sender: str, req: ClaimRequest) -> Any:
-        return self.authority.answer(sender.rpartition('/')[0], req)
-
     def peer_ended(self, sender: str) -> None:
         """Roll back the open transactions of a peer whose connection ended."""
+        self.homes.forget_sender(sender)
         for runner in self.runners.values():
             runner.end_sender(sender)
 
@@ -359,6 +380,7 @@
             lease = self.authority.add(name)
             runner = GroupRunner(name, self.clock, self._ports, self.log, self._admit, lease)
             runner.count_usage = self.usage.record if self.usage else None
+            self.crossings.attach(runner)
             failover = Failover(
                 runner,
                 self.clock,
@@ -370,9 +392,11 @@
             self.ownership_manager.add(name, ManagedGroup(runner, failover))
         members = {each.id: each for each in self.view.members.values() if each.group == name}
         runner.update(group, members, self.view.evacuated, cfg.tx_idle_ms)
+        self.homes.observe(name, members.values())
 
     def _remove_group(self, name: str) -> None:
         del self.runners[name]
+        self.homes.remove(name)
         self.ownership_manager.remove(name)
         self.authority.remove(name)
 
@@ -407,6 +431,7 @@
     def _on_link_change(self, name: str, up: bool) -> None:
         if up:
             self._eviction.set_reachable(name)
+            self.homes.introduce(name)
         else:
             self.authority.drop_voter(name)
             self.store_sync.forget_peer(name)
@@ -435,6 +460,8 @@
                 self.store_sync.tick,
                 self._update_ready_to_own,
                 self._end_sessions_in_minority,
+                self.homes.tick,
+                self.crossings.tick,
                 manager.reconcile,
                 lambda: self.authority.update_voters(manager.candidates),
                 lambda: self.authority.tick(manager.active_groups()),
@@ -489,13 +516,12 @@
     def _nearby_and_all_links(self) -> tuple[list[Link], list[Link]]:
         """Return the active links within this failure domain, and all active links."""
         links_up = [link for link in self._links.values() if link.up]
-        own = self.peer.failure_domain
-        return [link for link in links_up if link.peer.failure_domain == own], links_up
+        near = [each for each in links_up if each.peer.failure_domain == self.peer.failure_domain]
+        return near, links_up
 
     def _admit(self, organisation: str, wait_ms: int, hold_ms: int) -> int:
-        if organisation == ANONYMOUS:
-            return 0
-        return self.rate_limiter.admit(organisation, wait_ms, hold_ms)
+        free = organisation == ANONYMOUS
+        return 0 if free else self.rate_limiter.admit(organisation, wait_ms, hold_ms)
 
     def _organisation(self, name: str) -> Organisation | None:
         return self._organisations.get(name)
--- a/godwitthread/platform/gateway_process.py
+++ b/godwitthread/platform/gateway_process.py
@@ -21,6 +21,7 @@
 from godwitthread.gateway.logs import Log
 from godwitthread.gateway.metrics import Metrics
 from godwitthread.gateway.node import Node
+from godwitthread.gateway.options import Options
 from godwitthread.gateway.ports import Ports, UsagePort
 from godwitthread.gateway.shutdown import open_calls, shut_down
 from godwitthread.loop import eventlet
@@ -89,7 +90,8 @@
             lease_ms=settings.lease_ms,
         )
         metrics = Metrics()
-        self.node = Node(peer, self.clock, ports, self._log, metrics, settings.rate_tolerance)
+        options = Options(settings.rate_tolerance, settings.crossing_cost_ms)
+        self.node = Node(peer, self.clock, ports, self._log, metrics, options)
         metrics.gauge('godwitthread_sessions', 'Open sessions', lambda: len(self.node.sessions))
         metrics.gauge('godwitthread_owned_groups', 'Groups owned', self.node.owned_groups)
         metrics.gauge(
