--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -5,20 +5,12 @@
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
-import msgspec
-
 from godwitthread.core.ownership import PeerReachability
-from godwitthread.core.scheduling import wait_limits
 from godwitthread.core.shutdown import Phase
 from godwitthread.core.statements import (
-    Action,
     Result,
     RunRequest,
-    failure,
-    is_repeatable,
-    unknown_outcome,
 )
-from godwitthread.errors import ErrorKind, ProxyError
 from godwitthread.gateway import link_server, links, usage_collector
 from godwitthread.gateway.authority_manager import AuthorityManager, ClaimRequest
 from godwitthread.gateway.crossings import Crossings
@@ -40,21 +32,20 @@
 from godwitthread.gateway.reach_probe import ReachProbe, ReachRequest
 from godwitthread.gateway.registration import Registration, mark_departed
 from godwitthread.gateway.sessions import ANONYMOUS, Sessions
+from godwitthread.gateway.statement_router import StatementRouter
 from godwitthread.gateway.store_sync import ReaderRole, StoreSync
 from godwitthread.gateway.store_view import PEER_TABLE, StoreView
 from godwitthread.loop import eventlet
 
 if TYPE_CHECKING:
+    import msgspec
+
     from godwitthread.clock import Clock
     from godwitthread.core.catalog import Configuration, Group, Organisation, Peer
     from godwitthread.gateway.logs import Log
     from godwitthread.gateway.metrics import Metrics
     from godwitthread.gateway.ports import Ports
 
-#: Delay before a statement is sent to the owner of its group again, in ms.
-ROUTE_RETRY_MS = 30
-#: Time beyond a statement's time limit that its answer from another instance may take, in ms.
-CALL_SLACK_MS = 150
 #: Time after the list of instances is known until an instance may own resources without having
 #: reached all candidates, in ms. Without it, each of several instances that start at the same time
 #: would own everything.
@@ -62,10 +53,6 @@
 #: Time without a majority after which idle sessions are ended, in ms, so that their callers connect
 #: to other instances.
 MINORITY_GRACE_MS = 400
-#: Errors of a call that had no effect.
-NOTHING_SENT = (ErrorKind.BACKEND_UNAVAILABLE, ErrorKind.MOVED)
-
-_results = msgspec.msgpack.Decoder(Result)
 
 
 class Node:
@@ -91,7 +78,6 @@
         #: Number of statements of peers that run at this instance.
         self.peer_statements = 0
         self._ports = ports
-        self._started_ms = clock.now_ms()
         self._ready_to_own = False
         self._peers_known_ms = 0
         self._minority_since_ms = 0
@@ -105,9 +91,6 @@
             self._nearby_and_all_links,
             ReaderRole(self._reads_store, lambda: self.ownership_manager.rank('store')),
         )
-        self.sessions = Sessions(
-            clock, lambda: self.view.configuration, self.run, log, metrics.observe
-        )
         self.rate_limiter = RateLimiter(
             clock,
             self._organisation,
@@ -162,11 +145,24 @@
             metrics,
         )
         self.authority.on_answer = self.crossings.record_round_trip
+        self.router = StatementRouter(
+            peer,
+            clock,
+            self.runners,
+            self._links,
+            self.homes,
+            self.crossings,
+            self.ownership_manager.track_work,
+            lambda: self._ready_to_own,
+            lambda: self.sessions.phase is Phase.STOPPING,
+        )
+        self.sessions = Sessions(
+            clock, lambda: self.view.configuration, self.router.run, log, metrics.observe
+        )
         self.calls = self._call_handlers()
         self._threads: list[Any] = []
         self._organisations: dict[str, Organisation] = {}
         self._eviction = PeerEviction(clock, ports, log, self.view.row_revision)
-        self._ownerless_since_ms: dict[str, int] = {}
         self._hello = Hello(peer.name, peer.incarnation)
 
     # Life cycle
@@ -235,88 +231,6 @@
         """Return the number of open connections to members."""
         return sum(pool.total for each in self.runners.values() for pool in each.pools.values())
 
-    # Statements
-
-    def run(self, req: RunRequest, holder: str | None) -> tuple[Result, str | None]:
-        """Run a statement at the owner of its group, or at the instance with its transaction."""
-        if holder is not None:
-            return self._run_at_transaction_owner(req, holder), holder
-        started_ms, moved = self.clock.now_ms(), 0
-        while True:
-            now_ms = self.clock.now_ms()
-            left = req._replace(
-                remaining_ms=req.remaining_ms - (now_ms - started_ms),
-                objective_ms=max(0, req.objective_ms - (now_ms - started_ms)),
-            )
-            owner = self.homes.owner(req.group, moved)
-            ownerless_ms = self._ownerless_ms(req.group, owner, now_ms)
-            wait_ms = wait_limits.owner_wait_ms(req.remaining_ms, req.objective_ms, ownerless_ms)
-            try:
-                if owner is None:
-                    raise ProxyError(ErrorKind.BACKEND_UNAVAILABLE, 'no instance owns the group')
-                return self._run_at(owner, left), owner
-            except ProxyError as exc:
-                not_run = exc.kind in NOTHING_SENT
-                if not not_run and not is_repeatable(req):
-                    return unknown_outcome(req, exc.message), owner
-                over = self.clock.now_ms() + ROUTE_RETRY_MS >= started_ms + wait_ms
-                if over or self.sessions.phase is Phase.STOPPING:
-                    if not not_run:
-                        return failure(ErrorKind.CONNECTION_LOST, exc.message), owner
-                    kind = ErrorKind.BACKEND_UNAVAILABLE
-                    return failure(kind, exc.message, ROUTE_RETRY_MS, True), owner
-                moved += exc.kind is ErrorKind.MOVED
-                if exc.kind is ErrorKind.MOVED and self.homes.has_alternative(req.group, moved):
-                    continue
-            eventlet.sleep(ROUTE_RETRY_MS / 1000)
-
-    def _ownerless_ms(self, group: str, owner: str | None, now_ms: int) -> int:
-        """Return for how long this instance has known no owner of a group, in ms."""
-        if owner is not None:
-            self._ownerless_since_ms.pop(group, None)
-            return 0
-        since_ms = now_ms if self._ready_to_own else self._started_ms
-        return now_ms - self._ownerless_since_ms.setdefault(group, since_ms)
-
-    def _run_at(self, owner: str, req: RunRequest) -> Result:
-        if owner == self.peer.name:
-            return self._run_here(self._sender(), req)
-        return self._ask_result(self._links[owner], req)
-
-    def _ask_result(self, link: Link, req: RunRequest) -> Result:
-        body = link.call('run', req, req.remaining_ms + CALL_SLACK_MS)
-        self.crossings.record_call(link.peer.failure_domain, req, len(memoryview(body)))
-        result: Result = links.decode_answer(_results, body)
-        return result
-
-    def _run_at_transaction_owner(self, req: RunRequest, holder: str) -> Result:
-        try:
-            if holder == self.peer.name:
-                runner = self.runners.get(req.group)
-                if runner is None:
-                    raise ProxyError(ErrorKind.BACKEND_UNAVAILABLE, 'the group was removed')
-                return runner.run(self._sender(), req)
-            link = self._links.get(holder)
-            if link is None:
-                raise ProxyError(ErrorKind.BACKEND_UNAVAILABLE, f'instance {holder} is unavailable')
-            if req.action is Action.ROLLBACK:
-                link.send_oneway('run', req)
-                return Result(ended=True)
-            return self._ask_result(link, req)
-        except ProxyError as exc:
-            if exc.kind in NOTHING_SENT:
-                return failure(ErrorKind.TRANSACTION_LOST, exc.message, ended=True)
-            return unknown_outcome(req, exc.message)
-
-    def _run_here(self, sender: str, req: RunRequest) -> Result:
-        runner = self.runners.get(req.group)
-        if runner is None:
-            raise ProxyError(ErrorKind.BACKEND_UNAVAILABLE, 'the group is unknown to this instance')
-        if req.first and not self.homes.owns(req.group, sender):
-            raise ProxyError(ErrorKind.MOVED, 'another instance owns the group')
-        self.ownership_manager.track_work(req.group)
-        return runner.run(sender, req)
-
     # Calls of peers
 
     def handle(self, sender: str, kind: str, body: msgspec.Raw) -> Any:
@@ -339,7 +253,7 @@
     def _run_for_peer(self, sender: str, req: RunRequest) -> Result:
         self.peer_statements += 1
         try:
-            return self._run_here(sender, req)
+            return self.router.run_here(sender, req)
         finally:
             self.peer_statements -= 1
 
