--- a/tests/test_gateway/test_promotion_duty.py
+++ b/tests/test_gateway/test_promotion_duty.py
@@ -53,7 +53,7 @@
         return self.revision
 
 
-def duty(store: OneRowStore, name: str, incarnation: int = 1, results=None):
+def duty(store: OneRowStore, name: str, incarnation: int = 1, results=None, **settings):
     """Build the promotion duty of an instance, and the list of the orders it sends."""
     orders: list[tuple[str, int]] = []
     script = list(results or [])
@@ -62,8 +62,9 @@
         orders.append((holder, token))
         return script.pop(0) if script else DONE
 
-    ports = Ports(lambda *args: None, lambda: store, None, promote)
-    return PromotionDuty(name, incarnation, ports, quiet_log(Clock()), Clock()), orders
+    clock = Clock(settings.pop('seconds', None))
+    ports = Ports(lambda *args: None, lambda: store, None, promote, **settings)
+    return PromotionDuty(name, incarnation, ports, quiet_log(clock), clock), orders
 
 
 def test_no_token_is_used_by_two_holders_or_after_a_restart():
@@ -246,3 +247,22 @@
             made.order('g', 'm')
         assert orders[0][1] > newest
         newest = orders[-1][1]
+
+
+@pytest.mark.parametrize('lease_ms', [3_000, 0])
+def test_a_lost_duty_is_not_taken_back_within_the_lease(lease_ms):
+    """Guard against holders in the order A, B, A within the lease of the platform."""
+    store, now_s = OneRowStore(), [100.0]
+    former, _ = duty(store, 'a', lease_ms=lease_ms, seconds=lambda: now_s[0])
+    former.take()
+    successor, _ = duty(store, 'b')
+    successor.take()
+    former.yield_to(successor.token)
+    now_s[0] += 2.9
+    if lease_ms:
+        with pytest.raises(ProxyError):
+            former.take()
+        assert not former.held
+        now_s[0] += 0.1
+    former.take()
+    assert former.token > successor.token
--- a/tests/test_usage/test_usage_reports.py
+++ b/tests/test_usage/test_usage_reports.py
@@ -152,6 +152,19 @@
     assert cluster.wrong_windows(FIRST, window) == []
 
 
+def test_a_window_waits_for_an_owner_that_is_cut_off_for_a_moment():
+    """Guard against a window that is fixed without the counts of an owner that still runs."""
+    cluster = Cluster()
+    cluster.run(12_000)
+    cluster.run_to(4_000)
+    owner = cluster.instances[cluster.order[-1]]
+    owner.cut = set(cluster.order[:2])
+    cluster.run(3_500)
+    owner.cut = set()
+    cluster.run(20_000)
+    assert cluster.wrong_windows(FIRST, TERMS.window(cluster.true_ms()) - 2, 0) == []
+
+
 def test_sigterm_hands_the_counts_and_the_duty_over():
     """Guard against counts and windows that are lost at a planned stop."""
     cluster = Cluster()
@@ -256,9 +269,15 @@
     """Guard against a differing report of a window that a malformed row hides."""
     cluster = Cluster()
     cluster.run(12_000)
-    cluster.run_to(2_000)
+    holder = cluster.instances[cluster.holder()]
+    cluster.platform_script = ['lost'] * 9
+    while max(cluster.ledger.accepted) <= holder.duty.closed:
+        cluster.run(TICK_MS)
+    # The report was accepted, which no instance knows, and one more of its requests comes late.
+    cluster.instances[cluster.order[-1]].collector.record('bode960', cluster.now_ms - 2_000)
     cluster.revision += 1
     cluster.row = cluster.row._replace(value=b'{', revision=cluster.revision)
+    cluster.platform_script = []
     cluster.run(40_000)
     assert cluster.ledger.violations == []
     last = TERMS.window(cluster.true_ms()) - 2
