Let starting instances take groups over together

Cause: each instance became ready to own on its own, when it reached all candidates or after 400 ms, checked every 50 ms. While all start, a group had up to three owners within 180 ms, each of which opens connections.

The first instance becomes ready as before. While another one owns, the others wait until all candidates reach each other, or until no further one appears for 300 ms, 1,500 ms at most. The last instance that starts connects to all others at once, so that they become ready together. gateway/start_gate.py applies it when a link opens or time is due, in place of every 50 ms. Readiness for callers is as before.

--- a/godwitthread/gateway/link_server.py
+++ b/godwitthread/gateway/link_server.py
@@ -69,6 +69,7 @@
     handler: CallHandler,
     on_end: Callable[[str], None],
     report: Callable[[FrameStream, int], TableReports | None] = lambda *_: None,
+    on_open: Callable[[], None] = lambda: None,
 ) -> None:
     """Answer the calls of one peer until its connection ends; list its stream in `streams`."""
     configure(sock)
@@ -81,6 +82,7 @@
             return
         hello = _hellos.decode(first)
         stream.peer_name = hello.name
+        on_open()
         # Each connection is a separate sender: its open transactions end with it, and a later
         # connection of the same peer never joins them.
         sender = f'{hello.name}/{hello.incarnation}/{next(_connections)}'
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -37,6 +37,7 @@
 from godwitthread.gateway.reach_probe import ReachProbe, ReachRequest
 from godwitthread.gateway.registration import Registration, mark_departed
 from godwitthread.gateway.sessions import ANONYMOUS, Sessions
+from godwitthread.gateway.start_gate import StartGate
 from godwitthread.gateway.store_sync import ReaderRole, StoreSync
 from godwitthread.gateway.store_view import PEER_TABLE, StoreView
 from godwitthread.loop import eventlet
@@ -53,10 +54,6 @@
 ROUTE_RETRY_MS = 30
 #: Time beyond a statement's time limit that its answer from another instance may take, in ms.
 CALL_SLACK_MS = 150
-#: Time after the list of instances is known until an instance may own resources without having
-#: reached all candidates, in ms. Without it, each of several instances that start at the same time
-#: would own everything.
-OWNERSHIP_START_DELAY_MS = 400
 #: Time without a majority after which idle sessions are ended, in ms, so that their callers connect
 #: to other instances.
 MINORITY_GRACE_MS = 400
@@ -89,8 +86,6 @@
         self.peer_statements = 0
         self._ports = ports
         self._started_ms = clock.now_ms()
-        self._ready_to_own = False
-        self._peers_known_ms = 0
         self._minority_since_ms = 0
         self.view = StoreView(ports.schema, clock, log, self._on_store_change)
         self.store_sync = StoreSync(
@@ -111,6 +106,9 @@
         self.duty = PromotionDuty(peer.name, peer.incarnation, ports, log)
         self.runners: dict[str, GroupRunner] = {}
         self._links: dict[str, Link] = {}
+        self.start_gate = StartGate(
+            clock, self._links, self.inbound, self._knows_peers, self._on_ready_to_own
+        )
         self.duty_router = DutyRouter(peer.name, self.duty, self.view, self._links)
         self.ownership_manager = OwnershipManager(
             peer.name, clock, self._reach, self.rate_limiter, log
@@ -183,13 +181,13 @@
         return (
             not self.leaving
             and self.view.configuration is not None
-            and self._ready_to_own
+            and self.start_gate.reached
             and self.ownership_manager.has_majority()
         )
 
     def heartbeat_status(self) -> HeartbeatStatus:
         """Return the status that peers receive with each heartbeat."""
-        return HeartbeatStatus(self.leaving, self._ready_to_own, self.duty.token)
+        return HeartbeatStatus(self.leaving, self.start_gate.ready, self.duty.token)
 
     def owned_groups(self) -> int:
         """Return the number of groups that this instance owns."""
@@ -236,7 +234,7 @@
         if owner is not None:
             self._ownerless_since_ms.pop(group, None)
             return 0
-        since_ms = now_ms if self._ready_to_own else self._started_ms
+        since_ms = now_ms if self.start_gate.reached else self._started_ms
         return now_ms - self._ownerless_since_ms.setdefault(group, since_ms)
 
     def _run_at(self, owner: str, req: RunRequest) -> Result:
@@ -318,7 +316,7 @@
     def _reach(self) -> dict[str, PeerReachability]:
         reach = {name: link.reach() for name, link in self._links.items()}
         reach[self.peer.name] = PeerReachability(
-            True, leaving=self.leaving, ready=self._ready_to_own
+            True, leaving=self.leaving, ready=self.start_gate.ready
         )
         return reach
 
@@ -396,6 +394,7 @@
             self.store_sync.forget_peer(name)
             if self._eviction.set_unreachable(name):
                 self.log.event('peer_lost', peer=name, announced=self._links[name].announced_end)
+        self.start_gate.update()
         self.ownership_manager.reconcile()
         self.rate_limiter.on_reach_changed()
 
@@ -417,7 +416,7 @@
                 self.view.drop_missing_members,
                 self.view.retry,
                 self.store_sync.tick,
-                self._update_ready_to_own,
+                self.start_gate.update,
                 self._end_sessions_in_minority,
                 manager.reconcile,
                 lambda: self.authority.update_voters(manager.candidates),
@@ -427,19 +426,15 @@
             )
         )
 
-    def _update_ready_to_own(self) -> None:
-        """Allow ownership once the store content and the reachability of the peers are known."""
-        if self._ready_to_own or self.view.configuration is None or not self.view.members:
-            return
-        if self.peer.name not in self.view.peers:
-            # Without the list of instances, each instance would assume that it is the only one.
-            return
-        now_ms = self.clock.now_ms()
-        self._peers_known_ms = self._peers_known_ms or now_ms
-        reached = bool(self._links) and all(link.up for link in self._links.values())
-        if reached or now_ms - self._peers_known_ms >= OWNERSHIP_START_DELAY_MS:
-            self._ready_to_own = True
-            link_server.broadcast_heartbeat(self.inbound, self.heartbeat_status())
+    def _knows_peers(self) -> bool:
+        """Return whether the store content is known that the choice of owners depends on."""
+        # Without the list of instances, each instance would assume that it is the only one.
+        known = self.view.configuration is not None and bool(self.view.members)
+        return known and self.peer.name in self.view.peers
+
+    def _on_ready_to_own(self) -> None:
+        link_server.broadcast_heartbeat(self.inbound, self.heartbeat_status())
+        self.ownership_manager.reconcile()
 
     def _end_sessions_in_minority(self) -> None:
         """End idle sessions while this instance reaches no majority of the candidates."""
@@ -450,7 +445,7 @@
                 self.sessions.enter(Phase.SERVING)
             return
         self._minority_since_ms = self._minority_since_ms or now_ms
-        if self._ready_to_own and now_ms - self._minority_since_ms >= MINORITY_GRACE_MS:
+        if self.start_gate.reached and now_ms - self._minority_since_ms >= MINORITY_GRACE_MS:
             self.sessions.enter(Phase.DRAINING)
 
     # Helpers
--- a/godwitthread/platform/gateway_process.py
+++ b/godwitthread/platform/gateway_process.py
@@ -157,6 +157,7 @@
             node.handle,
             node.peer_ended,
             node.store_sync.report,
+            node.start_gate.update,
         )
 
     def _serve_caller(self, sock: Any) -> None:
--- a/tests/test_system/gateways.py
+++ b/tests/test_system/gateways.py
@@ -198,4 +198,5 @@
             node.handle,
             node.peer_ended,
             node.store_sync.report,
+            node.start_gate.update,
         )
