Report members that accept fewer connections than configured

Cause: operators could not tell a member whose connections are held by another instance from an overload.

Change: events connections_limited and connections_unlimited, once for each change, and the gauges godwitthread_limited_members and godwitthread_waiting_statements.

--- a/godwitthread/core/scheduling/connection_limit.py
+++ b/godwitthread/core/scheduling/connection_limit.py
@@ -50,20 +50,18 @@
             return None
         return self._probe_ms
 
-    def record_refused(self, now_ms: int, open_connections: int) -> bool:
-        """Record that the member refused another connection; return whether the number changed."""
+    def record_refused(self, now_ms: int, open_connections: int) -> None:
+        """Record that the member refused another connection."""
         before = self._accepted
         if before is None or open_connections < before:
             self._accepted = open_connections
             delay_ms = FIRST_PROBE_MS if before is None else CLOSING_MS
             self._probe_ms = now_ms + delay_ms
-            return True
-        if now_ms >= self._probe_ms:
+        elif now_ms >= self._probe_ms:
             # Attempts that began before the first refusal are refused before the next trial.
             delay_ms = min(MAX_PROBE_MS, FIRST_PROBE_MS << min(self._refused_probes, 8))
             self._probe_ms = now_ms + delay_ms
             self._refused_probes += 1
-        return False
 
     def record_opened(self, now_ms: int, open_connections: int) -> None:
         """Record that the member accepted a connection."""
--- a/godwitthread/events.py
+++ b/godwitthread/events.py
@@ -132,6 +132,10 @@
         _event_type(601, 'connection_opened', 'backend connection opened', logging.DEBUG),
         _event_type(602, 'connection_closed', 'backend connection closed', logging.DEBUG),
         _event_type(603, 'connection_refused', 'backend server refused a connection'),
+        _event_type(
+            604, 'connections_limited', 'backend server accepts fewer connections', logging.WARNING
+        ),
+        _event_type(605, 'connections_unlimited', 'backend server accepts all connections again'),
         _event_type(701, 'invariant_violated', 'invariant violated', logging.ERROR),
         _event_type(801, 'fault_injected', 'stand-in fault injected'),
     )
--- a/godwitthread/gateway/groups/member_group.py
+++ b/godwitthread/gateway/groups/member_group.py
@@ -78,6 +78,8 @@
         self._invalid_claims: set[str] = set()
         self._timer: eventlet.greenthread.GreenThread | None = None
         self._timer_ms = 0
+        #: Members that accept fewer connections than configured.
+        self.limited: set[str] = set()
 
     def update(
         self,
@@ -272,6 +274,7 @@
             self._log.failure(
                 'connection_refused', member=member_id, reason=exc.refusal.value, detail=str(exc)
             )
+            self._report_limit(member_id)
             state = self.dispatcher.members.get(member_id)
             if state is not None and exc.refusal is Refusal.TOO_MANY:
                 state.record_not_sent(self._clock.now_ms())
@@ -450,11 +453,27 @@
 
     def _drop(self, member_id: str) -> None:
         self.dispatcher.members.pop(member_id, None)
+        self.limited.discard(member_id)
         pool = self.pools.pop(member_id, None)
         if pool is not None:
             pool.close_idle()
 
+    def _report_limit(self, member_id: str) -> None:
+        pool = self.pools.get(member_id)
+        limited = pool is not None and pool.accepted.accepted < pool.accepted.configured
+        if pool is None or limited == (member_id in self.limited):
+            return
+        self.limited ^= {member_id}
+        self._log.event(
+            'connections_limited' if limited else 'connections_unlimited',
+            group=self.name,
+            member=member_id,
+            accepted=pool.accepted.accepted,
+            configured=pool.accepted.configured,
+        )
+
     def _on_connection_opened(self, member_id: str, reply: Reply, took_ms: int) -> None:
+        self._report_limit(member_id)
         state = self.dispatcher.members.get(member_id)
         if state is not None:
             state.observe_position(reply.position)
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -197,6 +197,14 @@
         """Return the number of open connections to members."""
         return sum(pool.total for each in self.runners.values() for pool in each.pools.values())
 
+    def limited_members(self) -> int:
+        """Return the number of members that accept fewer connections than configured."""
+        return sum(len(each.limited) for each in self.runners.values())
+
+    def waiting_statements(self) -> int:
+        """Return the number of statements that wait for a slot of a member or a connection."""
+        return sum(len(each.dispatcher) for each in self.runners.values())
+
     # Statements
 
     def run(self, req: RunRequest, holder: str | None) -> tuple[Result, str | None]:
--- a/godwitthread/platform/gateway_process.py
+++ b/godwitthread/platform/gateway_process.py
@@ -91,6 +91,16 @@
         metrics.gauge(
             'godwitthread_member_connections', 'Connections to members', self.node.connections
         )
+        metrics.gauge(
+            'godwitthread_limited_members',
+            'Members that accept fewer connections than configured',
+            self.node.limited_members,
+        )
+        metrics.gauge(
+            'godwitthread_waiting_statements',
+            'Statements that wait for a slot of a member or a connection',
+            self.node.waiting_statements,
+        )
         metrics.gauge(
             'godwitthread_configuration_version',
             'Version of the configuration in force',
--- a/tests/test_gateway/test_connection_limit.py
+++ b/tests/test_gateway/test_connection_limit.py
@@ -52,6 +52,24 @@
     assert min(in_virtual_time(replay)) > 30
 
 
+def test_an_operator_sees_that_a_member_is_limited_and_when_it_no_longer_is():
+    """Guard against a limit that operators can't tell from an overload."""
+    group = FakeGroup(1)
+    made = runner(group)
+    pool = made.pools['m0']
+    pool.accepted.record_refused(0, 15)
+    made._report_limit('m0')
+    made._report_limit('m0')
+    assert made.limited == {'m0'}
+    pool.accepted.record_opened(200, 16)
+    made._report_limit('m0')
+    assert made.limited == set()
+    events = [
+        each['event'] for each in made._log._events.since() if 'connections_' in each['event']
+    ]
+    assert events == ['connections_limited', 'connections_unlimited']
+
+
 def test_trials_beyond_the_accepted_number_are_few():
     """Guard against a flood of attempts at a member that refuses them."""
 
