--- a/godwitthread/platform/gateway_process.py
+++ b/godwitthread/platform/gateway_process.py
@@ -97,6 +97,16 @@
         metrics.gauge(
             'godwitthread_member_connections', 'Connections to members', self.node.connections
         )
+        metrics.gauge(
+            'godwitthread_limited_members',
+            'Members that accept fewer connections than configured',
+            self.node.limited_members,
+        )
+        metrics.gauge(
+            'godwitthread_waiting_statements',
+            'Statements that wait for a slot of a member or a connection',
+            self.node.waiting_statements,
+        )
         metrics.gauge(
             'godwitthread_configuration_version',
             'Version of the configuration in force',
@@ -165,6 +175,7 @@
             node.handle,
             node.peer_ended,
             node.store_sync.report,
+            node.start_gate.update,
         )
 
     def _serve_caller(self, sock: Any) -> None:
