Test a group that follows its primary in a whole deployment

Cause: the times after which a group moves are agreed between instances only in whole deployments.

The failure domain of a member is renewed with its entry, not only with its address.

--- a/godwitthread/gateway/groups/member_group.py
+++ b/godwitthread/gateway/groups/member_group.py
@@ -99,6 +99,7 @@
                 self._add(now_ms, member)
             state = self.dispatcher.members[member_id]
             state.usable = not member.draining and member.failure_domain not in evacuated_domains
+            state.failure_domain = member.failure_domain
             state.cold_rate = group.cold_rate
             self.pools[member_id].limit = group.connection_limit
         for member_id in self.members.keys() - members.keys():
@@ -439,7 +440,6 @@
     def _add(self, now_ms: int, member: Member) -> None:
         self._drop(member.id)
         state = MemberState(member.id, member.slots)
-        state.failure_domain = member.failure_domain
         state.cold_until_ms = now_ms + member.cold_ms
         self.dispatcher.members[member.id] = state
         limit = self._group.connection_limit if self._group else 1
--- a/tests/test_system/gateways.py
+++ b/tests/test_system/gateways.py
@@ -43,6 +43,9 @@
 class GatewayDeployment:
     """Store and gateway instances; an operator changes the configuration."""
 
+    #: Price of a crossing between failure domains, None if they do not matter.
+    crossing_cost_ms: float | None = None
+
     def __init__(self, instances: int) -> None:
         self.store = RowStore()
         self.clock = Clock()
@@ -74,12 +77,12 @@
         self.store.put('op', 'config', content)
         self.changes.append(Change(version, self.clock.now_ms()))
 
-    def announce(self, member: str, state: str) -> None:
+    def announce(self, member: str, state: str, domain: str = DOMAINS[0]) -> None:
         """Write the entry of a member to the store."""
         entry = {
             'Service': GROUP,
             'Addr': f'{HOST}:9000',
-            'Zone': DOMAINS[0],
+            'Zone': domain,
             'Slots': 2,
             'State': state,
             'ColdLeftMs': 0,
@@ -165,7 +168,8 @@
             SCHEMA,
             lambda *_: PromotionResult(done=True, final=True),
         )
-        node = Node(peer, self.clock, ports, quiet_log(self.clock), Metrics())
+        log = quiet_log(self.clock)
+        node = Node(peer, self.clock, ports, log, Metrics(), self.crossing_cost_ms)
         sock = listen(peer.address)
         self._listeners[name] = sock, eventlet.spawn(_accept, sock, node)
         self.nodes.append(node)
