Run what can be in time first, and share slots among organisations

Cause: under overload the order by objective ran every statement just too late, and a statement was admitted if it could start before 45% of its time limit. Change: statements are admitted as in time or late, else refused at once with a retry delay spread over the capacity that becomes free. Late ones run in the room that is left. Organisations share by slot time once the expected wait is half of an objective; FairQueue uses the same shares. Statements of open transactions pass through the dispatcher, commits first, and are never refused for load. Members that shed or fail get fewer statements at once until they answer.

--- a/godwitthread/core/scheduling/dispatch.py
+++ b/godwitthread/core/scheduling/dispatch.py
@@ -2,16 +2,42 @@
 
 from __future__ import annotations
 
+import bisect
+import itertools
 from typing import TYPE_CHECKING, NamedTuple
 
+from godwitthread.core.scheduling import admission
+from godwitthread.core.scheduling.admission import Backlog, SlotUse
+from godwitthread.core.scheduling.fairness import HoldTimeShares
 from godwitthread.core.scheduling.member_state import MemberState, WorkItem
+from godwitthread.core.scheduling.order import Lane, transaction_key
+from godwitthread.core.scheduling.retry_delays import RetryDelays
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from godwitthread.core.scheduling.service_times import Kind
+    from godwitthread.types import Position
+
 #: Load added to the primary when a member is chosen for a read, as a share of its slots,
 #: because writes can run only there.
 PRIMARY_READ_PENALTY = 0.5
+#: Part of its time to the objective that a statement may be expected to wait before organisations
+#: share the slots. Below it, the order by objective serves different objectives better.
+SHARING_WAIT = 0.5
+#: Service times before its latest start at which a late statement precedes statements in time,
+#: within the share of slots that late statements get at least.
+URGENT_SERVICE_TIMES = 6
+#: Shortest retry delay while no member is there, in ms; about the service time of a statement.
+MIN_RETRY_MS = 10
+#: Interval at which the organisations that use slots are counted, in ms.
+ACTIVE_COUNT_MS = 100
+#: Average number of slots from which an organisation counts as using them.
+MIN_ACTIVE_SLOTS = 0.005
+#: Waiting statements whose required position is considered when the next check is scheduled.
+MAX_POSITIONS = 32
+#: Interval of checks while more statements than that wait, in ms.
+POSITION_CHECK_MS = 10
 
 
 class Rejection(NamedTuple):
@@ -28,6 +54,16 @@
     member: str
 
 
+class QueueLengths(NamedTuple):
+    """Numbers of waiting statements."""
+
+    #: Statements that can meet their objective.
+    in_time: int
+    late: int
+    #: Statements of open transactions.
+    transaction: int
+
+
 class Dispatcher:
     """Assign the waiting statements of a group to its members."""
 
@@ -35,87 +71,348 @@
         self.members: dict[str, MemberState] = {}
         #: Primary, None while there is none or a switchover is in progress.
         self.primary: str | None = None
-        self._waiting: dict[int, WorkItem] = {}
+        self.shares = HoldTimeShares()
+        self.retry_delays = RetryDelays()
+        #: Statements that only the primary can run, and reads.
+        self._writes, self._reads = Lane(self.shares), Lane(self.shares)
+        #: Statements of open transactions by number, and their order.
+        self._continuing: dict[int, WorkItem] = {}
+        self._continuing_order: list[tuple[bool, int, int, int]] = []
+        #: Whether organisations share the slots, because not everything is in time.
+        self._sharing = False
+        self._demand = {id(lane): SlotUse() for lane in (self._writes, self._reads)}
+        #: Slots used by each organisation that used any recently, and when they were counted.
+        self._use_of: dict[str, SlotUse] = {}
+        self._counted_ms = 0
+        self._transaction_use = SlotUse()
+        self._late_use = SlotUse()
+        self._refused: list[Rejection] = []
 
     def __len__(self) -> int:
-        return len(self._waiting)
+        return len(self._writes) + len(self._reads) + len(self._continuing)
 
     def __iter__(self) -> Iterator[WorkItem]:
-        return iter(self._waiting.values())
+        return itertools.chain(self._continuing.values(), self._writes, self._reads)
+
+    def queue_lengths(self) -> QueueLengths:
+        """Return the numbers of waiting statements."""
+        due = self._writes.due + self._reads.due
+        late = self._writes.late + self._reads.late
+        return QueueLengths(due, late, len(self._continuing))
 
     def submit(self, now_ms: int, work: WorkItem) -> Rejection | None:
-        """Queue a statement, or reject it if it is not expected to start before its deadline."""
-        wait_ms = self.expected_wait_ms(now_ms, work)
-        if now_ms + wait_ms >= work.deadline_ms:
-            return Rejection(work, max(1, int(wait_ms)))
-        self._waiting[work.number] = work
-        return None
+        """Queue a statement, or reject it if it is not expected to be answered in time."""
+        if work.member:
+            self._continuing[work.number] = work
+            bisect.insort(self._continuing_order, transaction_key(work))
+            return None
+        lane = self._lane(work)
+        able = [
+            member for member in self.members.values() if self._is_eligible(now_ms, work, member)
+        ]
+        if not able:
+            return_ms = self._return_ms(now_ms, work)
+            if return_ms is not None and return_ms > max(work.deadline_ms, work.limit_ms):
+                return Rejection(work, return_ms - now_ms)
+            # The load says nothing about when a member will be there.
+            lane.add_due(work, admission.INITIAL_SLOT_MS)
+            return None
+        service_ms = min(member.service_ms for member in able)
+        backlog = self._backlog(now_ms, work, lane, able)
+        wait_ms = admission.wait_ms(backlog, self._sharing)
+        if not self._sharing and wait_ms > SHARING_WAIT * (work.objective_ms - now_ms):
+            self._sharing = True
+            wait_ms = admission.wait_ms(backlog, True)
+        free = self._has_free_slot(now_ms, lane, able)
+        # A slot that is free now starts the statement, whatever is expected.
+        if (
+            now_ms + (0 if free else admission.WAIT_MARGIN * wait_ms) + service_ms
+            <= work.objective_ms
+        ):
+            lane.add_due(work, backlog.slot_ms)
+            self._demand[id(lane)].add(now_ms, backlog.slot_ms)
+            return None
+        return self._admit_late(now_ms, work, lane, backlog, free)
 
     def cancel(self, number: int) -> bool:
-        """Remove a waiting statement; return False if it was already assigned."""
-        return self._waiting.pop(number, None) is not None
-
-    def expected_wait_ms(self, now_ms: int, work: WorkItem) -> float:
-        """Return the expected wait of a statement submitted now, in ms."""
-        if work.primary:
-            member = self.members.get(self.primary or '')
-            if member is None:
-                return 0.0
-            ahead = sum(other.primary for other in self)
-            busy = ahead + max(0, member.load(now_ms) - member.slots)
-            return busy * member.service_ms / member.slots
-        members = [member for member in self.members.values() if member.usable]
-        slots = sum(member.slots for member in members)
-        if not slots:
-            return 0.0
-        service_ms = sum(member.service_ms for member in members) / len(members)
-        # Statements waiting for a primary occupy no slot while there is none.
-        ahead = sum(self.primary is not None or not other.primary for other in self)
-        return ahead * service_ms / slots
+        """Remove a waiting statement; return False if it was already assigned or refused."""
+        work = self._continuing.pop(number, None)
+        if work is not None:
+            order = self._continuing_order
+            del order[bisect.bisect_left(order, transaction_key(work))]
+            return True
+        return self._writes.remove(number) or self._reads.remove(number)
 
     def assign(self, now_ms: int) -> list[Assignment]:
         """Return the statements that can start now; their members count them as running."""
-        if not self._waiting:
-            return []
-        free = {member.id: member for member in self.members.values() if member.can_accept(now_ms)}
         assigned: list[Assignment] = []
-        for work in sorted(self._waiting.values(), key=lambda work: _sort_key(now_ms, work)):
-            if not free:
+        if self._continuing:
+            self._assign_continuing(now_ms, assigned)
+        if not self._writes.entries and not self._reads.entries:
+            self._sharing = False
+            return assigned
+        free = {member.id: member for member in self.members.values() if member.can_accept(now_ms)}
+        if not free and not self._sharing:
+            return assigned
+        for lane in (self._writes, self._reads):
+            if lane:
+                self._sort_out(now_ms, lane)
+        while free:
+            chosen = self._next(now_ms, free)
+            if chosen is None:
                 break
-            member = self._choose_member(now_ms, work, free)
-            if member is None:
-                continue
-            del self._waiting[work.number]
-            member.record_sent(now_ms)
+            lane, work, member, late = chosen
+            lane.remove(work.number)
+            self._account(now_ms, lane, work, member, late)
             assigned.append(Assignment(work, member.id))
             if not member.can_accept(now_ms):
                 del free[member.id]
         return assigned
 
+    def record_answer(
+        self,
+        now_ms: int,
+        member: MemberState,
+        organisation: str,
+        kind: Kind,
+        service_ms: float | None,
+        position: Position | None,
+        started_ms: int | None,
+    ) -> None:
+        """Record an answer at the member, and the slot time of the organisation."""
+        held_ms = member.record_answer(now_ms, service_ms, position, started_ms, kind)
+        if held_ms is not None:
+            self.shares.learn(organisation, round(held_ms))
+
+    def take_refused(self) -> list[Rejection]:
+        """Return the statements that were refused while they waited."""
+        refused, self._refused = self._refused, []
+        return refused
+
+    def may_start_later(self, now_ms: int, work: WorkItem) -> bool:
+        """Return whether a waiting statement can start later, since only load makes it wait."""
+        if now_ms >= self._latest_start_ms(work):
+            return False
+        return any(self._is_eligible(now_ms, work, member) for member in self.members.values())
+
+    def retry_after_ms(self, now_ms: int, work: WorkItem) -> int:
+        """Return a retry delay for a statement whose member is missing."""
+        slots = sum(member.slots for member in self.members.values()) or 1
+        spacing_ms = admission.INITIAL_SLOT_MS / slots
+        left_ms = max(work.limit_ms, work.deadline_ms) - now_ms
+        return self.retry_delays.reserve(now_ms, MIN_RETRY_MS, spacing_ms, left_ms)
+
     def next_change_ms(self, now_ms: int) -> int | None:
         """Return when `assign` is to run again if no answer arrives, None if nothing waits."""
-        if not self._waiting:
+        if not len(self):
             return None
-        times = [min(work.deadline_ms for work in self._waiting.values())]
-        times += [
-            member.paused_until_ms
-            for member in self.members.values()
-            if member.paused_until_ms > now_ms
-        ]
-        times += [
-            each
-            for member in self.members.values()
-            if (each := member.next_overdue_ms(now_ms)) is not None
-        ]
+        members = self.members.values()
+        times = [now_ms + 1_000]
+        for member in members:
+            times += [
+                each for each in (member.paused_until_ms, member.busy_until_ms) if each > now_ms
+            ]
+            overdue_ms = member.next_overdue_ms(now_ms)
+            if overdue_ms is not None:
+                times.append(overdue_ms)
+        reads = [work for work in itertools.islice(self._reads, MAX_POSITIONS) if work.required]
+        if len(self._reads) > MAX_POSITIONS:
+            times.append(now_ms + POSITION_CHECK_MS)
         times += [
             each
-            for work in self._waiting.values()
-            if work.required is not None
-            for member in self.members.values()
+            for work in reads
+            for member in members
             if (each := member.expected_applied_ms(now_ms, work.required_ms)) > now_ms
         ]
         return max(now_ms + 1, min(times))
 
+    def _lane(self, work: WorkItem) -> Lane:
+        return self._writes if work.primary else self._reads
+
+    def _is_eligible(self, now_ms: int, work: WorkItem, member: MemberState) -> bool:
+        """Return whether a member may run a statement once it has a free slot."""
+        if not member.usable or now_ms < member.paused_until_ms:
+            return False
+        if work.primary:
+            return member.id == self.primary
+        if member.id in work.avoid:
+            return False
+        return member.id == self.primary or member.has_applied(now_ms, work)
+
+    def _return_ms(self, now_ms: int, work: WorkItem) -> int | None:
+        """Return when the pause of the last member for a statement ends, None if unknown."""
+        if work.primary:
+            member = self.members.get(self.primary or '')
+            members = [member] if member is not None else []
+        else:
+            members = [each for each in self.members.values() if each.id not in work.avoid]
+        if not all(each.usable and each.paused_until_ms > now_ms for each in members):
+            return None
+        return min((each.paused_until_ms for each in members), default=None)
+
+    def _has_free_slot(self, now_ms: int, lane: Lane, able: list[MemberState]) -> bool:
+        """Return whether a free slot is left for a new statement by those that wait."""
+        free = {member.id: member for member in able if member.can_accept(now_ms)}
+        slots = sum(member.allowance - member.load(now_ms) for member in free.values())
+        if not slots or len(lane) < slots:
+            return bool(slots)
+        waiting = (work for work in lane if self._choose_member(now_ms, work, free) is not None)
+        return len(list(itertools.islice(waiting, slots))) < slots
+
+    def _backlog(self, now_ms: int, work: WorkItem, lane: Lane, able: list[MemberState]) -> Backlog:
+        slots: float = sum(member.slots for member in able)
+        slot_ms = sum(member.slot_ms(work.kind) for member in able) / len(able)
+        taken = 0.0
+        if any(member.id == self.primary for member in able):
+            taken = self._transaction_use.slots(now_ms)
+            if lane is self._reads:
+                taken += self._demand[id(self._writes)].slots(now_ms)
+        own_use = self._use_of.get(work.organisation)
+        own_slots = own_use.slots(now_ms) if own_use else 0.0
+        hold_ms = self.shares.expected_ms(work.organisation, slot_ms)
+        own = lane.due_of(work.organisation)
+        return Backlog(
+            max(admission.MIN_NEW_SHARE * slots, slots - taken),
+            slot_ms,
+            lane.due,
+            own * hold_ms,
+            lane.organisations + (not own),
+            own_slots,
+            max(0.0, self._demand[id(lane)].slots(now_ms) - own_slots),
+            max(1, self._active_organisations(now_ms)),
+        )
+
+    def _active_organisations(self, now_ms: int) -> int:
+        if now_ms >= self._counted_ms + ACTIVE_COUNT_MS:
+            self._counted_ms = now_ms
+            self._use_of = {
+                name: use
+                for name, use in self._use_of.items()
+                if use.slots(now_ms) > MIN_ACTIVE_SLOTS
+            }
+        return len(self._use_of)
+
+    def _latest_start_ms(self, work: WorkItem) -> int:
+        if not work.limit_ms:
+            return work.deadline_ms
+        fastest = min((member.service_ms for member in self.members.values()), default=0.0)
+        return max(work.deadline_ms, int(work.limit_ms - 2 * fastest))
+
+    def _admit_late(
+        self,
+        now_ms: int,
+        work: WorkItem,
+        lane: Lane,
+        backlog: Backlog,
+        free: bool,
+    ) -> Rejection | None:
+        """Queue a statement that cannot meet its objective behind the others, or reject it."""
+        latest_ms = self._latest_start_ms(work)
+        needed = self._demand[id(lane)].slots(now_ms)
+        slots = admission.late_slots(backlog.slots, needed)
+        due_ms = lane.due * backlog.slot_ms / backlog.slots
+        late_ms = due_ms + (lane.late + 1) * backlog.slot_ms / slots
+        own_ms = lane.late_of(work.organisation) * max(1, lane.late_organisations)
+        share_ms = due_ms + own_ms * backlog.slot_ms / slots
+        if free or now_ms + max(late_ms, share_ms) < latest_ms:
+            lane.add_late(work, latest_ms)
+            return None
+        # Room comes once the statements ahead have run, unless new ones take it.
+        spacing_ms = backlog.slot_ms / admission.retry_slots(backlog.slots, needed)
+        room_ms = max(1.0, (lane.due + lane.late) * spacing_ms)
+        delay_ms = self.retry_delays.reserve(now_ms, room_ms, spacing_ms, latest_ms - now_ms)
+        return Rejection(work, delay_ms)
+
+    def _sort_out(self, now_ms: int, lane: Lane) -> None:
+        """Move statements behind the others once they miss their objective; refuse expired ones."""
+        fastest_ms = min((member.service_ms for member in self.members.values()), default=0.0)
+        for work in lane.take_turned_late(now_ms + fastest_ms / 2):
+            able = [
+                member
+                for member in self.members.values()
+                if self._is_eligible(now_ms, work, member)
+            ]
+            if not able:
+                lane.add_late(work, self._latest_start_ms(work))
+                continue
+            backlog = self._backlog(now_ms, work, lane, able)
+            refused = self._admit_late(now_ms, work, lane, backlog, False)
+            if refused is not None:
+                self._refused.append(refused)
+        for work in lane.take_expired(now_ms):
+            self._refused.append(Rejection(work, self.retry_after_ms(now_ms, work)))
+
+    def _assign_continuing(self, now_ms: int, assigned: list[Assignment]) -> None:
+        for key in list(self._continuing_order):
+            work = self._continuing[key[3]]
+            member = self.members.get(work.member)
+            if member is not None:
+                if not member.can_continue(now_ms):
+                    continue
+                member.record_sent(now_ms)
+                self._transaction_use.add(now_ms, member.slot_ms(work.kind))
+            self.cancel(work.number)
+            assigned.append(Assignment(work, work.member))
+
+    def _next(
+        self, now_ms: int, free: dict[str, MemberState]
+    ) -> tuple[Lane, WorkItem, MemberState, bool] | None:
+        """Return the statement that starts next, its member, and whether it is late."""
+        urgent = self._first(now_ms, free, late=True, urgent=True)
+        if urgent is not None:
+            return urgent
+        in_time = self._first(now_ms, free, late=False)
+        return in_time or self._first(now_ms, free, late=True)
+
+    def _first(
+        self, now_ms: int, free: dict[str, MemberState], *, late: bool, urgent: bool = False
+    ) -> tuple[Lane, WorkItem, MemberState, bool] | None:
+        found: list[tuple[Lane, WorkItem, MemberState, bool]] = []
+        for lane in (self._writes, self._reads):
+            if not (lane.late if late else lane.due):
+                continue
+            if lane is self._writes and self.primary not in free:
+                continue
+            if urgent and not self._late_may_precede(now_ms, lane):
+                continue
+            for work in lane.late_in_order() if late else lane.in_order(self._sharing):
+                member = self._choose_member(now_ms, work, free)
+                if member is not None:
+                    found.append((lane, work, member, late))
+                    break
+                if urgent:
+                    break
+        if len(found) < 2:
+            return found[0] if found else None
+        return min(found, key=lambda each: self._rank(each[1], late))
+
+    def _rank(self, work: WorkItem, late: bool) -> tuple[int, int, int, int]:
+        if late:
+            return work.priority, self._latest_start_ms(work), 0, work.number
+        tag = self.shares.start_tag(work.organisation) if self._sharing else 0
+        return work.priority, tag, work.objective_ms, work.number
+
+    def _late_may_precede(self, now_ms: int, lane: Lane) -> bool:
+        """Return whether late statements have less than their share, and one must start soon."""
+        work = next(lane.late_in_order())
+        slowest_ms = max(member.service_ms for member in self.members.values())
+        if self._latest_start_ms(work) - now_ms > URGENT_SERVICE_TIMES * slowest_ms:
+            return False
+        slots = sum(member.slots for member in self.members.values() if member.usable)
+        return self._late_use.slots(now_ms) < admission.LATE_SHARE * slots
+
+    def _account(
+        self, now_ms: int, lane: Lane, work: WorkItem, member: MemberState, late: bool
+    ) -> None:
+        member.record_sent(now_ms)
+        slot_ms = member.slot_ms(work.kind)
+        if late:
+            self._late_use.add(now_ms, slot_ms)
+            return
+        hold_ms = self.shares.expected_ms(work.organisation, slot_ms)
+        self._use_of.setdefault(work.organisation, SlotUse()).add(now_ms, hold_ms)
+        self.shares.charge(work.organisation)
+
     def _choose_member(
         self, now_ms: int, work: WorkItem, free: dict[str, MemberState]
     ) -> MemberState | None:
@@ -138,8 +435,3 @@
             ),
             default=None,
         )
-
-
-def _sort_key(now_ms: int, work: WorkItem) -> tuple[bool, int, int, int]:
-    # Statements that can still meet their objective precede those that are already late.
-    return now_ms > work.objective_ms, work.priority, work.objective_ms, work.number
--- a/godwitthread/core/scheduling/fairness.py
+++ b/godwitthread/core/scheduling/fairness.py
@@ -1,4 +1,8 @@
-"""Start-time fair queueing of organisations, charged by connection hold time."""
+"""Start-time fair queueing of organisations, charged by the time for which they hold a resource.
+
+`FairQueue` serves the connections of `godwitthread/instance/`, `HoldTimeShares` the slots of a
+group, which also orders the statements of one organisation.
+"""
 
 from __future__ import annotations
 
@@ -32,6 +36,86 @@
     item: T
 
 
+#: Organisations whose hold times are remembered; more of them share the initial estimate.
+MAX_ORGANISATIONS = 1_024
+
+
+class Share:
+    """Virtual start time and hold time of one organisation."""
+
+    def __init__(self) -> None:
+        self.weight = 1
+        #: Virtual start time of the next request.
+        self.start_tag = 0
+        #: Eight times the smoothed hold time, in ms.
+        self.hold_ms_x8 = 8 * INITIAL_HOLD_MS
+
+    @property
+    def expected_ms(self) -> int:
+        """Return the expected hold time of a request, in ms."""
+        return max(1, self.hold_ms_x8 // 8)
+
+    def activate(self, virtual_time: int) -> None:
+        """Note that requests wait again; no credit is earned for the time without any."""
+        self.start_tag = max(self.start_tag, virtual_time)
+
+    def advance(self, hold_ms: int) -> None:
+        """Charge hold time."""
+        self.start_tag += hold_ms * UNITS_PER_MS // self.weight
+
+    def learn(self, hold_ms: int) -> None:
+        """Record the hold time of a request."""
+        self.hold_ms_x8 += hold_ms - self.hold_ms_x8 // 8
+
+
+class HoldTimeShares:
+    """Shares of organisations of equal weight, with one virtual time."""
+
+    def __init__(self) -> None:
+        self._virtual_time = 0
+        self._shares: dict[str, Share] = {}
+
+    def start_tag(self, organisation: str) -> int:
+        """Return the virtual start time; the lowest one goes first."""
+        share = self._shares.get(organisation)
+        return share.start_tag if share else self._virtual_time
+
+    def expected_ms(self, organisation: str, default_ms: float) -> float:
+        """Return the expected hold time of a request, in ms."""
+        share = self._shares.get(organisation)
+        return share.expected_ms if share else default_ms
+
+    def activate(self, organisation: str, default_ms: float) -> None:
+        """Note that the first request of an organisation waits."""
+        share = self._shares.get(organisation)
+        if share is None:
+            if len(self._shares) >= MAX_ORGANISATIONS:
+                self._forget_idle()
+            share = self._shares[organisation] = Share()
+            share.hold_ms_x8 = int(8 * default_ms)
+        share.activate(self._virtual_time)
+
+    def charge(self, organisation: str) -> None:
+        """Charge a request that starts its expected hold time."""
+        share = self._shares.get(organisation)
+        if share is not None:
+            self._virtual_time = max(self._virtual_time, share.start_tag)
+            share.advance(share.expected_ms)
+
+    def learn(self, organisation: str, hold_ms: int) -> None:
+        """Record the hold time of an ended request."""
+        share = self._shares.get(organisation)
+        if share is not None:
+            share.learn(hold_ms)
+
+    def _forget_idle(self) -> None:
+        self._shares = {
+            name: share
+            for name, share in self._shares.items()
+            if share.start_tag > self._virtual_time
+        }
+
+
 class FairQueue(Generic[T]):
     """Serve organisations by hold time, in proportion to their weights."""
 
@@ -60,8 +144,7 @@
         if now_ms + wait_ms > deadline_ms:
             return Refusal(max(1, wait_ms), 'deadline')
         if not flow.waiting:
-            # An organisation earns no credit for the time in which it was idle.
-            flow.start_tag = max(flow.start_tag, self._virtual_time)
+            flow.activate(self._virtual_time)
         self._sequence += 1
         flow.waiting.append((deadline_ms, self._sequence, item))
         heapq.heappush(self._deadlines, (deadline_ms, self._sequence, organisation))
@@ -89,8 +172,8 @@
         if flow is None or not flow.running:
             return
         expected_ms = flow.running.popleft()
-        flow.start_tag += (hold_ms - expected_ms) * UNITS_PER_MS // flow.weight
-        flow.hold_ms_x8 += hold_ms - flow.hold_ms_x8 // 8
+        flow.advance(hold_ms - expected_ms)
+        flow.learn(hold_ms)
         if not flow.running and not flow.waiting and flow.start_tag <= self._virtual_time:
             del self._flows[organisation]
 
@@ -129,25 +212,17 @@
     def _start_request(self, flow: _Flow[T]) -> T:
         expected_ms = flow.expected_ms
         flow.running.append(expected_ms)
-        flow.start_tag += expected_ms * UNITS_PER_MS // flow.weight
+        flow.advance(expected_ms)
         return flow.waiting.popleft()[2]
 
 
-class _Flow(Generic[T]):
+class _Flow(Share, Generic[T]):
     """Waiting and running requests of one organisation."""
 
     def __init__(self) -> None:
-        self.weight = 1
-        #: Virtual start time of the next request.
-        self.start_tag = 0
+        super().__init__()
         self.waiting: deque[tuple[int, int, T]] = deque()
         #: Hold time charged in advance for each running request, in ms.
         self.running: deque[int] = deque()
         #: Requests that `pop` found past their deadline, to be returned by `expire`.
         self.expired_items: list[T] = []
-        #: Eight times the smoothed hold time, in ms.
-        self.hold_ms_x8 = 8 * INITIAL_HOLD_MS
-
-    @property
-    def expected_ms(self) -> int:
-        return max(1, self.hold_ms_x8 // 8)
--- a/godwitthread/core/scheduling/member_state.py
+++ b/godwitthread/core/scheduling/member_state.py
@@ -5,6 +5,7 @@
 import math
 from typing import TYPE_CHECKING, NamedTuple
 
+from godwitthread.core.scheduling.service_times import Kind, ServiceTimes
 from godwitthread.types import Position
 
 if TYPE_CHECKING:
@@ -34,6 +35,9 @@
 MIN_OVERDUE_MS = 100
 #: Time for which a member gets no statements after a failure, in ms.
 FAILURE_BACKOFF_MS = 150
+#: Factor on the number of statements that a member may have at once after it shed load or failed.
+#: Half leaves room at a member that other instances use as well; answers raise the number again.
+REDUCED_ALLOWANCE = 0.5
 #: Upper bound of that time, which doubles with each consecutive failure, in ms.
 MAX_FAILURE_BACKOFF_MS = 1_200
 
@@ -57,6 +61,11 @@
     avoid: frozenset[str] = frozenset()
     #: Organisation on whose behalf the statement runs.
     organisation: str = ''
+    kind: Kind = Kind.READ
+    #: Time limit of the answer, in ms; 0 if only `deadline_ms` applies.
+    limit_ms: int = 0
+    #: Member of the open transaction that the statement belongs to, '' for a new operation.
+    member: str = ''
 
 
 class MemberState:
@@ -78,11 +87,17 @@
         self._lag_ms: float = INITIAL_LAG_MS
         self._lag_updated_ms = 0
         self.service_ms = INITIAL_SERVICE_MS
+        self.service_times = ServiceTimes()
+        #: Number of statements that the member may have at once, by its measured answers.
+        self.allowance = slots + EXTRA_IN_FLIGHT
+        self._exact_allowance = float(self.allowance)
         #: Time to open a connection, in ms; opening occupies a slot as well.
         self.setup_ms = INITIAL_SETUP_MS
         #: Returns whether an organisation has an idle open connection.
         self.has_connection: Callable[[str], bool] = lambda _: False
         self.paused_until_ms = 0
+        #: End of the pause after a statement was refused as busy, in ms.
+        self.busy_until_ms = 0
         #: Number of consecutive failures.
         self.failures = 0
         #: Time of the latest answer, in ms.
@@ -100,7 +115,18 @@
             return False
         if now_ms < self.cold_until_ms and self.cold_rate > 0 and now_ms < self._cold_next_send_ms:
             return False
-        return self.load(now_ms) < self.slots + EXTRA_IN_FLIGHT
+        return self.load(now_ms) < self.allowance
+
+    def can_continue(self, now_ms: int) -> bool:
+        """Return whether the member can accept a statement of an open transaction.
+
+        Its connection exists, so a drain or a refused new connection does not matter.
+        """
+        return now_ms >= self.busy_until_ms and self.load(now_ms) < self.slots + EXTRA_IN_FLIGHT
+
+    def slot_ms(self, kind: Kind) -> float:
+        """Return the expected time for which a statement holds a slot, in ms."""
+        return self.service_times.slot_ms(kind, self.service_ms)
 
     @property
     def running(self) -> int:
@@ -142,14 +168,29 @@
         service_ms: float | None,
         position: Position | None,
         started_ms: int | None = None,
-    ) -> None:
-        """Record an answer; a service time of None means that nothing ran."""
+        kind: Kind = Kind.READ,
+    ) -> float | None:
+        """Record an answer, and return the time for which it held a slot, in ms.
+
+        A service time of None means that nothing ran.
+        """
+        load = self.running
         self._answered_start_ms = max(self._answered_start_ms, self._remove(started_ms))
         self.record_contact(now_ms)
         self.failures = 0
         self.observe_position(position)
-        if service_ms is not None:
-            self.service_ms += (service_ms - self.service_ms) * EWMA_WEIGHT
+        if service_ms is None:
+            return None
+        self.service_ms += (service_ms - self.service_ms) * EWMA_WEIGHT
+        if self.allowance < self.slots + EXTRA_IN_FLIGHT:
+            self._set_allowance(self._exact_allowance + 1 / self._exact_allowance)
+        # Beyond its slots, the member's own queue is part of the measured time.
+        return self.service_times.record(kind, service_ms, min(1.0, self.slots / max(1, load)))
+
+    def record_shed(self, now_ms: int, pause_ms: int) -> None:
+        """Record a statement that the member refused as busy."""
+        self.busy_until_ms = self.paused_until_ms = now_ms + pause_ms
+        self._set_allowance(min(self.allowance, self.running + 1) * REDUCED_ALLOWANCE)
 
     def record_contact(self, now_ms: int) -> None:
         """Record that the member sent any answer."""
@@ -165,9 +206,14 @@
         """Record a failed statement or connection, and back off from the member."""
         self._remove(started_ms)
         self.failures += 1
+        self._set_allowance(self.allowance * REDUCED_ALLOWANCE)
         backoff_ms = min(MAX_FAILURE_BACKOFF_MS, FAILURE_BACKOFF_MS << min(self.failures - 1, 4))
         self.paused_until_ms = now_ms + backoff_ms
 
+    def _set_allowance(self, number: float) -> None:
+        self._exact_allowance = max(1.0, min(number, self.slots + EXTRA_IN_FLIGHT))
+        self.allowance = int(self._exact_allowance)
+
     def _is_overdue(self, now_ms: int, started_ms: int) -> bool:
         later_one_answered = started_ms < self._answered_start_ms
         return later_one_answered and now_ms - started_ms >= self._overdue_ms()
--- a/godwitthread/gateway/groups/member_group.py
+++ b/godwitthread/gateway/groups/member_group.py
@@ -3,18 +3,17 @@
 from __future__ import annotations
 
 import contextlib
-import itertools
 import logging
 from typing import TYPE_CHECKING
 
 from godwitthread.core.position_evidence import PositionEvidence
 from godwitthread.core.scheduling import wait_limits
-from godwitthread.core.scheduling.dispatch import Dispatcher
 from godwitthread.core.scheduling.member_state import MemberState, WorkItem
-from godwitthread.core.statements import NOT_RUN, Refusal, Reply, Result, RunRequest, failure
+from godwitthread.core.scheduling.service_times import Kind
+from godwitthread.core.statements import NOT_RUN, Refusal, Reply, Result, RunRequest
 from godwitthread.core.write_authority import Succession
-from godwitthread.errors import ErrorKind
 from godwitthread.gateway.groups.member_pool import MemberPool
+from godwitthread.gateway.groups.statement_queue import StatementQueue
 from godwitthread.gateway.ports import NotConnectedError
 from godwitthread.loop import eventlet
 
@@ -37,15 +36,14 @@
 INTERNAL_TIMEOUT_MS = 400
 
 
-class MemberGroup:
+class MemberGroup(StatementQueue):
     """Track the connections, load, log positions and primary of a group's members."""
 
     def __init__(
         self, name: str, clock: Clock, ports: Ports, log: Log, lease: PrimaryLease
     ) -> None:
-        self.name = name
+        super().__init__(name, clock, log)
         self.lease = lease
-        self.dispatcher = Dispatcher()
         self.evidence = PositionEvidence()
         self.pools: dict[str, MemberPool] = {}
         self.members: dict[str, Member] = {}
@@ -64,21 +62,15 @@
         #: Newest promotion that this instance has followed.
         self._followed = Succession()
         self._following = False
-        self._clock = clock
         self._ports = ports
-        self._log = log
         self._group: Group | None = None
         self._tx_idle_ms = 0
-        self._numbers = itertools.count(1)
-        self._events: dict[int, eventlet.event.Event] = {}
         self._probing: eventlet.event.Event | None = None
         self._probe_after_ms = 0
         #: Time of the last read with a staleness bound, in ms.
         self._last_bounded_read_ms = 0
         #: Former primaries whose entry in the store still names them as the primary.
         self._invalid_claims: set[str] = set()
-        self._timer: eventlet.greenthread.GreenThread | None = None
-        self._timer_ms = 0
 
     def update(
         self,
@@ -217,46 +209,11 @@
             self._probing = None
             done.send()
 
-    def dispatch_waiting(self) -> None:
-        """Assign waiting work to members with free capacity."""
-        now_ms = self._clock.now_ms()
-        for assignment in self.dispatcher.assign(now_ms):
-            event = self._events.pop(assignment.work.number, None)
-            if event is not None:
-                event.send(assignment.member)
-        next_ms = self.dispatcher.next_change_ms(now_ms)
-        if next_ms is None or (self._timer is not None and self._timer_ms <= next_ms):
-            return
-        if self._timer is not None:
-            self._timer.cancel()
-        self._timer_ms = next_ms
-        self._timer = eventlet.spawn_after((next_ms - now_ms) / 1000, self._on_timer)
-
-    def _on_timer(self) -> None:
-        self._timer = None
-        self.dispatch_waiting()
-
     def _wait_for_member(self, work: WorkItem) -> str | Result:
-        now_ms = self._clock.now_ms()
         self._last_organisation = work.organisation or self._last_organisation
         if work.primary:
             self.refresh_primary()
-        refused = self.dispatcher.submit(now_ms, work)
-        if refused is not None:
-            return failure(
-                ErrorKind.OVERLOADED, 'the queue of the group is full', refused.retry_after_ms, True
-            )
-        event = self._events[work.number] = eventlet.event.Event()
-        self.dispatch_waiting()
-        with eventlet.Timeout(max(1, work.deadline_ms - now_ms) / 1000, False):
-            member_id: str = event.wait()
-            return member_id
-        self._events.pop(work.number, None)
-        if not self.dispatcher.cancel(work.number):
-            # The work was assigned in the same iteration of the event loop.
-            return str(event.wait())
-        text = 'no primary' if work.primary and not self.dispatcher.primary else 'no member is free'
-        return failure(ErrorKind.BACKEND_UNAVAILABLE, text, BUSY_PAUSE_MS, True)
+        return self._wait(work)
 
     def _connect(self, member_id: str, req: RunRequest, deadline_ms: int) -> Connection | None:
         pool = self.pools.get(member_id)
@@ -291,12 +248,25 @@
             state.record_failure(self._clock.now_ms())
         self.dispatch_waiting()
 
-    def _finish(self, member_id: str, conn: Connection, sent_ms: int, reply: Reply) -> None:
-        self._record_result(member_id, sent_ms, reply)
+    def _finish(
+        self,
+        member_id: str,
+        conn: Connection,
+        sent_ms: int,
+        reply: Reply,
+        kind: Kind = Kind.READ,
+    ) -> None:
+        self._record_result(member_id, conn.organisation, sent_ms, reply, kind)
         self._release(member_id, conn)
 
     def _record_result(
-        self, member_id: str, sent_ms: int, reply: Reply, timed: bool = True
+        self,
+        member_id: str,
+        organisation: str,
+        sent_ms: int,
+        reply: Reply,
+        kind: Kind,
+        timed: bool = True,
     ) -> None:
         state = self.dispatcher.members.get(member_id)
         if state is None:
@@ -306,7 +276,10 @@
             state.record_failure(now_ms, sent_ms)
         else:
             ran = timed and (reply.refusal is None or reply.refusal not in NOT_RUN)
-            state.record_answer(now_ms, now_ms - sent_ms if ran else None, reply.position, sent_ms)
+            took_ms = now_ms - sent_ms if ran else None
+            self.dispatcher.record_answer(
+                now_ms, state, organisation, kind, took_ms, reply.position, sent_ms
+            )
         self.dispatch_waiting()
 
     def _release(self, member_id: str, conn: Connection) -> None:
@@ -323,7 +296,9 @@
             self._on_leadership_lost(member_id)
         elif reply.refusal is Refusal.BEHIND and state is not None and work is not None:
             state.record_lagging(now_ms, now_ms - work.required_ms)
-        elif reply.refusal in (Refusal.BUSY, Refusal.BEHIND) and state is not None:
+        elif reply.refusal is Refusal.BUSY and state is not None:
+            state.record_shed(now_ms, BUSY_PAUSE_MS)
+        elif reply.refusal is Refusal.BEHIND and state is not None:
             state.paused_until_ms = now_ms + BUSY_PAUSE_MS
         self.dispatch_waiting()
 
--- a/godwitthread/gateway/groups/statement_runner.py
+++ b/godwitthread/gateway/groups/statement_runner.py
@@ -6,6 +6,7 @@
 
 from godwitthread.core.scheduling import wait_limits
 from godwitthread.core.scheduling.member_state import WorkItem
+from godwitthread.core.scheduling.service_times import Kind
 from godwitthread.core.statements import NOT_RUN, Consistency, Refusal, Reply, Result, failure
 from godwitthread.errors import ErrorKind
 from godwitthread.gateway.groups.member_group import (
@@ -43,7 +44,7 @@
     def _write(self, req: RunRequest, deadline_ms: int) -> Result:
         hold_ms = self._hold_until(req)
         while True:
-            granted = self._acquire(req, None, min(hold_ms, deadline_ms), primary=True)
+            granted = self._acquire(req, None, hold_ms, deadline_ms, primary=True)
             if isinstance(granted, Result):
                 return granted
             with self._release_slot_on_error(granted):
@@ -52,7 +53,7 @@
                     continue
                 sent_ms, epoch = self._clock.now_ms(), self.epoch
                 reply = self._statement(conn, req, deadline_ms, None)
-            self._finish(granted, conn, sent_ms, reply)
+            self._finish(granted, conn, sent_ms, reply, Kind.WRITE)
             if reply.refusal is None:
                 if not self.may_acknowledge(epoch):
                     return failure(ErrorKind.CONNECTION_LOST, UNCONFIRMED)
@@ -71,7 +72,7 @@
         last: Result | None = None
         while True:
             if pending == 0 or len(tried) < MAX_READ_ATTEMPTS:
-                granted = self._acquire_read(req, min(hold_ms, deadline_ms), tried, pending)
+                granted = self._acquire_read(req, hold_ms, deadline_ms, tried, pending)
                 if isinstance(granted, Result):
                     if not pending:
                         return last or granted
@@ -97,7 +98,7 @@
                     return last
 
     def _acquire_read(
-        self, req: RunRequest, hold_ms: int, tried: set[str], pending: int
+        self, req: RunRequest, hold_ms: int, deadline_ms: int, tried: set[str], pending: int
     ) -> tuple[WorkItem, str] | Result:
         primary = req.consistency is Consistency.PRIMARY
         required = None
@@ -111,6 +112,8 @@
             if primary:
                 return failure(ErrorKind.OVERLOADED, 'only the primary can run the read')
         work = self._work(req, required, hold_ms, primary, frozenset() if primary else tried)
+        if not pending:
+            work = work._replace(limit_ms=deadline_ms)
         granted = self._wait_for_member(work)
         return granted if isinstance(granted, Result) else (work, granted)
 
@@ -198,9 +201,16 @@
         return conn.execute(req.statement_id, name, req.arguments, left_ms, after)
 
     def _acquire(
-        self, req: RunRequest, required: Position | None, hold_ms: int, *, primary: bool
+        self,
+        req: RunRequest,
+        required: Position | None,
+        hold_ms: int,
+        deadline_ms: int,
+        *,
+        primary: bool,
     ) -> str | Result:
-        return self._wait_for_member(self._work(req, required, hold_ms, primary, frozenset()))
+        work = self._work(req, required, hold_ms, primary, frozenset())
+        return self._wait_for_member(work._replace(limit_ms=deadline_ms))
 
     def _work(
         self,
@@ -221,6 +231,7 @@
             priority=req.priority,
             avoid=frozenset(avoid),
             organisation=req.organisation,
+            kind=Kind.WRITE if req.writes else Kind.READ,
         )
 
     def _hold_until(self, req: RunRequest) -> int:
--- a/godwitthread/gateway/groups/transaction_runner.py
+++ b/godwitthread/gateway/groups/transaction_runner.py
@@ -4,6 +4,9 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from godwitthread.core.scheduling import wait_limits
+from godwitthread.core.scheduling.member_state import WorkItem
+from godwitthread.core.scheduling.service_times import Kind
 from godwitthread.core.statements import (
     NOT_RUN,
     Action,
@@ -17,7 +20,6 @@
 from godwitthread.gateway.groups.member_group import BUSY_PAUSE_MS, INTERNAL_TIMEOUT_MS
 from godwitthread.gateway.groups.statement_runner import UNCONFIRMED, StatementRunner, success
 from godwitthread.gateway.ports import Connection
-from godwitthread.loop import eventlet
 
 if TYPE_CHECKING:
     from godwitthread.clock import Clock
@@ -105,20 +107,40 @@
         self, tx: OpenTransaction, req: RunRequest, deadline_ms: int, commit: bool
     ) -> tuple[int, Reply]:
         """Execute a statement of a transaction; repeat it while the member refuses it as busy."""
+        kind = Kind.COMMIT if commit else Kind.TRANSACTION
         while True:
+            self._await_turn(tx, req, deadline_ms, kind)
             sent_ms = self._clock.now_ms()
-            state = self.dispatcher.members.get(tx.member)
-            if state is not None:
-                state.record_sent(sent_ms)
             if commit:
                 reply = tx.conn.run(req.statement_id, req.text, self._left_ms(deadline_ms))
             else:
                 reply = self._statement(tx.conn, req, deadline_ms, None)
-            self._record_result(tx.member, sent_ms, reply)
+            if reply.refusal is Refusal.BUSY:
+                self._on_not_run(tx.member, reply)
+            self._record_result(tx.member, req.organisation, sent_ms, reply, kind)
             busy = reply.refusal is Refusal.BUSY and not tx.conn.closed
             if not busy or self._clock.now_ms() + BUSY_PAUSE_MS >= deadline_ms:
                 return sent_ms, reply
-            eventlet.sleep(BUSY_PAUSE_MS / 1000)
+
+    def _await_turn(
+        self, tx: OpenTransaction, req: RunRequest, deadline_ms: int, kind: Kind
+    ) -> None:
+        """Wait until the member has a free slot for a statement of a transaction."""
+        now_ms = self._clock.now_ms()
+        wait_ms = wait_limits.max_wait_ms(deadline_ms - now_ms)
+        work = WorkItem(
+            number=next(self._numbers),
+            primary=tx.on_primary,
+            required=None,
+            required_ms=0,
+            objective_ms=now_ms + req.objective_ms,
+            deadline_ms=now_ms + wait_ms,
+            priority=req.priority,
+            organisation=req.organisation,
+            kind=kind,
+            member=tx.member,
+        )
+        self._wait_turn(work)
 
     def _fail_transaction(
         self, key: tuple[str, int], tx: OpenTransaction, reply: Reply, commit: bool
@@ -138,7 +160,7 @@
             on_primary = not req.read_only or req.consistency is Consistency.PRIMARY
             required = None if on_primary else self._required(req)
             on_primary = on_primary or required is None
-            granted = self._acquire(req, required, min(hold_ms, deadline_ms), primary=on_primary)
+            granted = self._acquire(req, required, hold_ms, deadline_ms, primary=on_primary)
             if isinstance(granted, Result):
                 return granted
             with self._release_slot_on_error(granted):
@@ -148,7 +170,9 @@
                 sent_ms, epoch = self._clock.now_ms(), self.epoch
                 reply = conn.begin(not on_primary, required, self._left_ms(deadline_ms))
             # BEGIN takes no slot, so its duration is no measure of the member's service time.
-            self._record_result(granted, sent_ms, reply, timed=False)
+            self._record_result(
+                granted, req.organisation, sent_ms, reply, Kind.TRANSACTION, timed=False
+            )
             if reply.refusal is None:
                 if on_primary:
                     self._record_evidence(granted, sent_ms, epoch, reply)
--- a/godwitthread/platform/gateway_process.py
+++ b/godwitthread/platform/gateway_process.py
@@ -18,6 +18,7 @@
 from godwitthread.errors import ProxyError
 from godwitthread.events import EventLog, HybridLogicalClock
 from godwitthread.gateway import link_server
+from godwitthread.gateway.groups.statement_queue import REFUSALS
 from godwitthread.gateway.logs import Log
 from godwitthread.gateway.metrics import Metrics
 from godwitthread.gateway.node import Node
@@ -115,6 +116,18 @@
             'table',
             {table: partial(_not_in_force_s, view, table) for table in tables},
         )
+        metrics.gauges(
+            'godwitthread_waiting_statements',
+            'Statements that wait for a member, by whether they can meet their objective',
+            'state',
+            {state: partial(self._waiting, state) for state in ('in_time', 'late', 'transaction')},
+        )
+        metrics.gauges(
+            'godwitthread_refused_statements',
+            'Statements refused as not run for lack of capacity since the start',
+            'reason',
+            {reason: partial(self._refused, reason) for reason in REFUSALS},
+        )
         self._metrics = metrics
         self._stop_requested = eventlet.event.Event()
         #: Number of failed readiness probes since the request to stop.
@@ -191,6 +204,13 @@
         start_response('200 OK' if ready else '503 Service Unavailable', [('Content-Length', '0')])
         return [b'']
 
+    def _waiting(self, state: str) -> int:
+        runners = self.node.runners.values()
+        return sum(getattr(runner.dispatcher.queue_lengths(), state) for runner in runners)
+
+    def _refused(self, reason: str) -> int:
+        return sum(runner.refusals[reason] for runner in self.node.runners.values())
+
     def _evidence_age_s(self, table: str) -> float:
         age_ms = self.node.store_sync.evidence_age_ms(table)
         return math.nan if age_ms is None else age_ms / 1000
