--- a/godwitthread/gateway/groups/statement_runner.py
+++ b/godwitthread/gateway/groups/statement_runner.py
@@ -6,6 +6,7 @@
 
 from godwitthread.core.scheduling import wait_limits
 from godwitthread.core.scheduling.member_state import WorkItem
+from godwitthread.core.scheduling.service_times import Kind
 from godwitthread.core.statements import NOT_RUN, Consistency, Refusal, Reply, Result, failure
 from godwitthread.core.usage_windows import Operation
 from godwitthread.errors import ErrorKind
@@ -45,7 +46,7 @@
         hold_ms = self._hold_until(req)
         usage = Operation(req.organisation, self.count_usage)
         while True:
-            granted = self._acquire(req, None, min(hold_ms, deadline_ms), primary=True)
+            granted = self._acquire(req, None, hold_ms, deadline_ms, primary=True)
             if isinstance(granted, Result):
                 return granted
             with self._release_slot_on_error(granted):
@@ -56,7 +57,7 @@
                 reply = self._statement(conn, req, deadline_ms, None)
             usage.ran(sent_ms, reply)
             self._count_traffic(granted, req, reply)
-            self._finish(granted, conn, sent_ms, reply)
+            self._finish(granted, conn, sent_ms, reply, Kind.WRITE)
             if reply.refusal is None:
                 if not self.may_acknowledge(epoch):
                     return failure(ErrorKind.CONNECTION_LOST, UNCONFIRMED)
@@ -76,7 +77,7 @@
         last: Result | None = None
         while True:
             if pending == 0 or len(tried) < MAX_READ_ATTEMPTS:
-                granted = self._acquire_read(req, min(hold_ms, deadline_ms), tried, pending)
+                granted = self._acquire_read(req, hold_ms, deadline_ms, tried, pending)
                 if isinstance(granted, Result):
                     if not pending:
                         return last or granted
@@ -103,7 +104,7 @@
                     return last
 
     def _acquire_read(
-        self, req: RunRequest, hold_ms: int, tried: set[str], pending: int
+        self, req: RunRequest, hold_ms: int, deadline_ms: int, tried: set[str], pending: int
     ) -> tuple[WorkItem, str] | Result:
         primary = req.consistency is Consistency.PRIMARY
         required = None
@@ -117,6 +118,8 @@
             if primary:
                 return failure(ErrorKind.OVERLOADED, 'only the primary can run the read')
         work = self._work(req, required, hold_ms, primary, frozenset() if primary else tried)
+        if not pending:
+            work = work._replace(limit_ms=deadline_ms)
         granted = self._wait_for_member(work)
         return granted if isinstance(granted, Result) else (work, granted)
 
@@ -210,9 +213,16 @@
         return conn.execute(req.statement_id, name, req.arguments, left_ms, after)
 
     def _acquire(
-        self, req: RunRequest, required: Position | None, hold_ms: int, *, primary: bool
+        self,
+        req: RunRequest,
+        required: Position | None,
+        hold_ms: int,
+        deadline_ms: int,
+        *,
+        primary: bool,
     ) -> str | Result:
-        return self._wait_for_member(self._work(req, required, hold_ms, primary, frozenset()))
+        work = self._work(req, required, hold_ms, primary, frozenset())
+        return self._wait_for_member(work._replace(limit_ms=deadline_ms))
 
     def _work(
         self,
@@ -233,6 +243,7 @@
             priority=req.priority,
             avoid=frozenset(avoid),
             organisation=req.organisation,
+            kind=Kind.WRITE if req.writes else Kind.READ,
         )
 
     def _hold_until(self, req: RunRequest) -> int:
