Keep the usage duty from alternating between instances that do not reach each other

Cause: two instances in failure domains that are apart would both be first, and take the duty from each other. A holder could mark the row as given up while an earlier report without an answer may still be carried out. Statuses of peers had no age, so that one that is cut off one way could keep the duty vacant.

Change: an instance takes the duty only if others don't reach a better one; the row is not marked within LeaseMs after a report without an answer; statuses expire. The set of running instances is determined only after a window's end.

--- a/godwitthread/core/usage_windows.py
+++ b/godwitthread/core/usage_windows.py
@@ -273,7 +273,9 @@
         """Return the oldest window with counts."""
         return min((window for window, each in self._windows.items() if each), default=None)
 
-    def is_complete(self, window: int, instances: Iterable[str], true_ms: int) -> bool:
+    def is_complete(
+        self, window: int, instances: Callable[[], Iterable[str]], true_ms: int
+    ) -> bool:
         """Return whether the counts of a window can be fixed.
 
         That is, all instances that may have run requests have reported past its end, or the
@@ -283,7 +285,7 @@
             return False
         if true_ms >= self._terms.latest_fix_ms(window):
             return True
-        return all(self._settled.get(name, (0, -1))[1] >= window for name in instances)
+        return all(self._settled.get(name, (0, -1))[1] >= window for name in instances())
 
     def drop_before(self, window: int) -> None:
         """Forget the windows before one."""
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -129,6 +129,7 @@
             self._links,
             self._reach,
             lambda: self.leaving,
+            self.reach_probe.owner,
         )
         self.calls = self._call_handlers()
         self._threads: list[Any] = []
--- a/godwitthread/gateway/usage_collector.py
+++ b/godwitthread/gateway/usage_collector.py
@@ -124,6 +124,7 @@
         peer_links: Mapping[str, Link],
         reach: Callable[[], dict[str, PeerReachability]],
         is_leaving: Callable[[], bool],
+        agreed_owner: Callable[[str], str | None],
     ) -> None:
         self._name = peer.name
         self._incarnation = peer.incarnation
@@ -133,6 +134,7 @@
         self._links = peer_links
         self._reach = reach
         self._is_leaving = is_leaving
+        self._agreed_owner = agreed_owner
         self._time = TrueTime(clock.now_ms())
         self._own = OwnCounts(port.terms)
         self._merged = MergedCounts(port.terms)
@@ -141,8 +143,8 @@
         self._receivers: dict[str, _Receiver] = {}
         self._ranked_for: object = None
         self._targets: list[str] = []
-        #: Statuses that peers reported.
-        self._statuses: dict[str, DutyStatus] = {}
+        #: Statuses that peers reported, with the time.
+        self._statuses: dict[str, tuple[int, DutyStatus]] = {}
         #: Requests whose counts came after their window was fixed.
         self.late_requests = 0
         #: Windows in which an organisation's late requests exceed the tolerance.
@@ -197,10 +199,10 @@
         name = sender.partition('/')[0]
         now_ms = self._clock.now_ms()
         self._time.read_clock(now_ms, name, message.wall_ms)
-        self._update_time(now_ms)
         true_ms = self._time.at(now_ms)
         self._learn_closed(message.closed)
-        self._statuses[name] = DutyStatus(message.token, message.stuck, message.incarnation)
+        status = DutyStatus(message.token, message.stuck, message.incarnation)
+        self._statuses[name] = now_ms, status
         if true_ms is None:
             # Its windows can't be checked yet; it sends the counts again.
             raise ProxyError(ErrorKind.BACKEND_UNAVAILABLE, 'the true time is not known yet')
@@ -213,7 +215,7 @@
     def tick(self) -> None:
         """Send the counts that are due."""
         now_ms = self._clock.now_ms()
-        self._update_time(now_ms)
+        self._time.update(now_ms, self._clock.wall_ms())
         true_ms = self._time.at(now_ms)
         if true_ms is not None:
             self._own.place_pending(self._time.at)
@@ -346,18 +348,18 @@
         true_ms = self._true_ms()
         if true_ms is None:
             return False
+        return self._merged.is_complete(window, self._running, true_ms)
+
+    def _running(self) -> list[str]:
+        """Return the instances that may have run requests and may report them yet."""
         names = [peer.name for peer in self._manager.candidates]
-        running = ownership.running(names, self._reach())
-        return self._merged.is_complete(window, running, true_ms)
+        return ownership.running(names, self._reach())
 
     # Helpers
 
     def _true_ms(self) -> int | None:
         return self._time.at(self._clock.now_ms())
 
-    def _update_time(self, now_ms: int) -> None:
-        self._time.update(now_ms, self._clock.wall_ms())
-
     def _learn_closed(self, window: int) -> None:
         true_ms = self._true_ms()
         if true_ms is not None and window <= self._terms.window(true_ms):
@@ -370,22 +372,32 @@
             return Standing.UNKNOWN
         names = self._ranked()
         first = next((name for name in names if not self._is_stuck(name)), names[0])
-        if first == self._name:
-            return Standing.FIRST
-        return Standing.NEXT if self._name in names else Standing.LOWER
+        if first != self._name:
+            return Standing.NEXT if self._name in names else Standing.LOWER
+        # An instance that only others reach may come first.
+        agreed = self._agreed_owner(RESOURCE)
+        if agreed is None:
+            return Standing.UNKNOWN
+        return Standing.FIRST if agreed == self._name or self._is_stuck(agreed) else Standing.NEXT
+
+    def _status(self, name: str) -> DutyStatus | None:
+        """Return the status of a peer; it reports it after each window at least."""
+        read_ms, status = self._statuses.get(name, (0, None))
+        valid_ms = self._terms.window_ms + SETTLE_MS + 2 * self._interval_ms() + CALL_TIMEOUT_MS
+        return status if self._clock.now_ms() - read_ms <= valid_ms else None
 
     def _is_stuck(self, name: str) -> bool:
         if name == self._name:
             return self.duty.stuck
-        status = self._statuses.get(name)
+        status = self._status(name)
         return status is not None and status.stuck
 
     def _other_holds(self) -> bool:
         """Return whether a peer that is reachable and not leaving reports that it has the duty."""
         reach = self._reach()
-        for name, status in self._statuses.items():
-            peer, link = reach.get(name), self._links.get(name)
-            if not status.token or peer is None or link is None:
+        for name in self._statuses:
+            status, peer, link = self._status(name), reach.get(name), self._links.get(name)
+            if status is None or not status.token or peer is None or link is None:
                 continue
             if peer.up and not peer.leaving and link.peer.incarnation == status.incarnation:
                 return True
@@ -410,10 +422,11 @@
     peer_links: Mapping[str, Link],
     reach: Callable[[], dict[str, PeerReachability]],
     is_leaving: Callable[[], bool],
+    agreed_owner: Callable[[str], str | None],
 ) -> UsageCollector | None:
     """Return the collector, None where the platform asks for no usage reports."""
     if ports.usage is None:
         return None
     return UsageCollector(
-        peer, clock, ports, ports.usage, log, manager, peer_links, reach, is_leaving
+        peer, clock, ports, ports.usage, log, manager, peer_links, reach, is_leaving, agreed_owner
     )
--- a/godwitthread/gateway/usage_duty.py
+++ b/godwitthread/gateway/usage_duty.py
@@ -143,6 +143,8 @@
         self._open = False
         self._after = -1
         self._attempts = 0
+        #: Time at which a report without an answer was sent last, in ms.
+        self._unanswered_ms: int | None = None
         self._next_ms = 0
         #: Whether the platform refused the last token.
         self._refused = False
@@ -285,14 +287,13 @@
     def _release(self) -> None:
         row = self._row
         assert row is not None
-        if self._open and self._attempts:
-            # A report without an answer may be carried out later, so that a successor must wait.
-            self._lose('released')
-            return
-        released = msgspec.json.encode(row._replace(name=''))
-        # If this fails, the successor waits until the row has not changed for the lease.
-        with contextlib.suppress(ConditionFailedError, ProxyError):
-            self._ports.store().put(DUTY_TABLE, USAGE_ROW, released, self._revision)
+        unanswered_ms = self._unanswered_ms
+        # A report without an answer may be carried out later. Unless the row is marked as given
+        # up, the successor waits until it has not changed for the lease.
+        if unanswered_ms is None or self._clock.now_ms() - unanswered_ms >= self._lease_ms:
+            released = msgspec.json.encode(row._replace(name=''))
+            with contextlib.suppress(ConditionFailedError, ProxyError):
+                self._ports.store().put(DUTY_TABLE, USAGE_ROW, released, self._revision)
         self._lose('released')
 
     def _lose(self, reason: str) -> None:
@@ -380,6 +381,7 @@
             lambda: self.held and self._clock.now_ms() < self._send_until_ms,
         )
         timeout_ms = min(MAX_POST_TIMEOUT_MS, POST_TIMEOUT_MS << min(self._attempts, 8))
+        sent_ms = self._clock.now_ms()
         result = self._port.post(report, timeout_ms)
         if result is UsageResult.DONE:
             self._on_reported(row, true_ms)
@@ -391,6 +393,8 @@
             delay_ms = min(MAX_RETRY_MS, RETRY_MS << min(self._attempts, 8))
             self._next_ms = self._clock.now_ms() + delay_ms
             self._attempts += 1
+            if result is UsageResult.FAILED:
+                self._unanswered_ms = sent_ms
             self._on_failure(PLATFORM)
 
     def _on_reported(self, row: UsageRow, true_ms: int) -> None:
--- a/tests/test_usage/cluster.py
+++ b/tests/test_usage/cluster.py
@@ -195,6 +195,7 @@
             Links(self),
             self.reach,
             lambda: self.leaving,
+            self.agreed_owner,
         )
         self.duty = self.collector.duty
 
@@ -232,6 +233,9 @@
     def is_candidate(self, name: str) -> bool:
         return True
 
+    def agreed_owner(self, resource: str) -> str | None:
+        return self.owner(resource)
+
     def able(self) -> tuple[str, ...]:
         return tuple(ownership.eligible(self.cluster.instances, self.reach()))
 
--- a/tests/test_usage/test_usage_reports.py
+++ b/tests/test_usage/test_usage_reports.py
@@ -113,6 +113,21 @@
     assert cluster.wrong_windows(last - 3, last) == []
 
 
+def test_an_instance_that_only_others_reach_keeps_the_duty():
+    """Guard against two instances in turn that take the duty from each other every few seconds."""
+    cluster = Cluster(5)
+    cluster.run(12_000)
+    first, second = (cluster.instances[name] for name in cluster.order[:2])
+    first.cut = {second.peer.name}
+    second.agreed_owner = lambda resource: first.peer.name
+    second.collector._agreed_owner = second.agreed_owner
+    writes, windows = cluster.calls['write'], len(cluster.ledger.accepted)
+    cluster.run(60_000)
+    assert cluster.holder() == first.peer.name
+    assert cluster.calls['write'] - writes <= len(cluster.ledger.accepted) - windows + 1
+    assert cluster.ledger.violations == []
+
+
 @pytest.mark.parametrize('service', ['store_cut', 'platform_cut'])
 def test_the_next_instance_reports_while_a_service_fails_for_the_first(service):
     """Guard against windows that are missing because one instance lacks store or platform."""
@@ -267,7 +282,7 @@
 
 def test_a_malformed_row_never_leads_to_a_second_report():
     """Guard against a differing report of a window that a malformed row hides."""
-    cluster = Cluster()
+    cluster = Cluster(terms=UsageTerms(5_000, 25_000))
     cluster.run(12_000)
     holder = cluster.instances[cluster.holder()]
     cluster.platform_script = ['lost'] * 9
