--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -133,6 +133,7 @@
             self._links,
             self._reach,
             lambda: self.leaving,
+            self.reach_probe.owner,
         )
         self.crossings = Crossings(
             peer.failure_domain,
