--- a/godwitthread/core/scheduling/dispatch.py
+++ b/godwitthread/core/scheduling/dispatch.py
@@ -21,7 +21,7 @@
 from godwitthread.core.scheduling.retry_delays import RetryDelays
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterable, Iterator
 
     from godwitthread.core.scheduling.service_times import Kind
     from godwitthread.types import Position
@@ -105,6 +105,8 @@
         self._transaction_use = SlotUse()
         self._late_use = SlotUse()
         self._refused: list[Rejection] = []
+        #: Organisations that wait behind others, since they hold many of the connections.
+        self.deferred: set[str] = set()
 
     def __len__(self) -> int:
         return len(self._writes) + len(self._reads) + len(self._continuing)
@@ -402,7 +404,8 @@
                 continue
             if urgent and not self._late_may_precede(now_ms, lane):
                 continue
-            for work in lane.late_in_order() if late else lane.in_order(self._sharing):
+            order = lane.late_in_order() if late else lane.in_order(self._sharing)
+            for work in self._undeferred_first(order):
                 choice = self._choose_member(now_ms, work, free)
                 member = free.get(choice.member or '')
                 if member is not None:
@@ -414,6 +417,11 @@
             return found[0] if found else None
         return min(found, key=lambda each: self._rank(each.work, late))
 
+    def _undeferred_first(self, order: Iterable[WorkItem]) -> Iterable[WorkItem]:
+        if not self.deferred:
+            return order
+        return sorted(order, key=lambda work: work.organisation in self.deferred)
+
     def _rank(self, work: WorkItem, late: bool) -> tuple[int, int, int, int]:
         if late:
             return work.priority, self._latest_start_ms(work), 0, work.number
--- a/godwitthread/gateway/groups/member_group.py
+++ b/godwitthread/gateway/groups/member_group.py
@@ -218,6 +218,13 @@
             self._probing = None
             done.send()
 
+    def dispatch_waiting(self) -> None:
+        """Assign waiting work to members with free capacity."""
+        if len(self.dispatcher):
+            held = (pool.over_share() for pool in self.pools.values())
+            self.dispatcher.deferred = set().union(*held)
+        super().dispatch_waiting()
+
     def _on_assigned(self, assignment: Assignment) -> None:
         if self.crossings is not None and not (assignment.work.primary or assignment.work.member):
             domain = self.members[assignment.member].failure_domain
