--- a/godwitthread/core/scheduling/dispatch.py
+++ b/godwitthread/core/scheduling/dispatch.py
@@ -117,20 +117,19 @@
             # The load says nothing about when a member will be there.
             lane.add_due(work, admission.INITIAL_SLOT_MS)
             return None
-        service_ms = min(member.service_ms for member in able)
+        in_time_ms = work.objective_ms - min(member.service_ms for member in able) - now_ms
+        free = self._has_free_slot(now_ms, lane, able)
+        if free and in_time_ms >= 0:
+            # A slot that is free now starts the statement, whatever is expected.
+            self._add_due(now_ms, lane, work, able[0].slot_ms(work.kind))
+            return None
         backlog = self._backlog(now_ms, work, lane, able)
         wait_ms = admission.wait_ms(backlog, self._sharing)
         if not self._sharing and wait_ms > SHARING_WAIT * (work.objective_ms - now_ms):
             self._sharing = True
             wait_ms = admission.wait_ms(backlog, True)
-        free = self._has_free_slot(now_ms, lane, able)
-        # A slot that is free now starts the statement, whatever is expected.
-        if (
-            now_ms + (0 if free else admission.WAIT_MARGIN * wait_ms) + service_ms
-            <= work.objective_ms
-        ):
-            lane.add_due(work, backlog.slot_ms)
-            self._demand[id(lane)].add(now_ms, backlog.slot_ms)
+        if admission.WAIT_MARGIN * wait_ms <= in_time_ms:
+            self._add_due(now_ms, lane, work, backlog.slot_ms)
             return None
         return self._admit_late(now_ms, work, lane, backlog, free)
 
@@ -155,9 +154,9 @@
         if not free and not self._sharing:
             return assigned
         for lane in (self._writes, self._reads):
-            if lane:
+            if lane.entries:
                 self._sort_out(now_ms, lane)
-        while free:
+        while free and (self._writes.entries or self._reads.entries):
             chosen = self._next(now_ms, free)
             if chosen is None:
                 break
@@ -204,7 +203,7 @@
 
     def next_change_ms(self, now_ms: int) -> int | None:
         """Return when `assign` is to run again if no answer arrives, None if nothing waits."""
-        if not len(self):
+        if not (self._writes.entries or self._reads.entries or self._continuing):
             return None
         members = self.members.values()
         times = [now_ms + 1_000]
@@ -226,6 +225,10 @@
         ]
         return max(now_ms + 1, min(times))
 
+    def _add_due(self, now_ms: int, lane: Lane, work: WorkItem, slot_ms: float) -> None:
+        lane.add_due(work, slot_ms)
+        self._demand[id(lane)].add(now_ms, slot_ms)
+
     def _lane(self, work: WorkItem) -> Lane:
         return self._writes if work.primary else self._reads
 
@@ -252,10 +255,10 @@
 
     def _has_free_slot(self, now_ms: int, lane: Lane, able: list[MemberState]) -> bool:
         """Return whether a free slot is left for a new statement by those that wait."""
-        free = {member.id: member for member in able if member.can_accept(now_ms)}
-        slots = sum(member.allowance - member.load(now_ms) for member in free.values())
-        if not slots or len(lane) < slots:
+        slots = sum([member.free_slots(now_ms) for member in able])
+        if len(lane.entries) < slots or not slots:
             return bool(slots)
+        free = {member.id: member for member in able if member.free_slots(now_ms)}
         waiting = (work for work in lane if self._choose_member(now_ms, work, free) is not None)
         return len(list(itertools.islice(waiting, slots))) < slots
 
@@ -325,7 +328,7 @@
 
     def _sort_out(self, now_ms: int, lane: Lane) -> None:
         """Move statements behind the others once they miss their objective; refuse expired ones."""
-        fastest_ms = min((member.service_ms for member in self.members.values()), default=0.0)
+        fastest_ms = min((each.service_ms for each in self.members.values()), default=0.0)
         for work in lane.take_turned_late(now_ms + fastest_ms / 2):
             able = [
                 member
@@ -358,11 +361,12 @@
         self, now_ms: int, free: dict[str, MemberState]
     ) -> tuple[Lane, WorkItem, MemberState, bool] | None:
         """Return the statement that starts next, its member, and whether it is late."""
-        urgent = self._first(now_ms, free, late=True, urgent=True)
+        late = bool(self._writes.late or self._reads.late)
+        urgent = self._first(now_ms, free, late=True, urgent=True) if late else None
         if urgent is not None:
             return urgent
         in_time = self._first(now_ms, free, late=False)
-        return in_time or self._first(now_ms, free, late=True)
+        return in_time or (self._first(now_ms, free, late=True) if late else None)
 
     def _first(
         self, now_ms: int, free: dict[str, MemberState], *, late: bool, urgent: bool = False
--- a/godwitthread/core/scheduling/member_state.py
+++ b/godwitthread/core/scheduling/member_state.py
@@ -76,8 +76,8 @@
         self.slots = slots
         #: Whether the member accepts new statements: not draining, evacuated or removed.
         self.usable = True
-        #: Start times of the unanswered statements, in ms; the time to open a connection
-        #: counts from the start.
+        #: Start times of the unanswered statements in ascending order, in ms; the time to open a
+        #: connection counts from the start.
         self._started_ms: list[int] = []
         #: Start time of the newest statement that was answered, in ms.
         self._answered_start_ms = -1
@@ -117,6 +117,10 @@
             return False
         return self.load(now_ms) < self.allowance
 
+    def free_slots(self, now_ms: int) -> int:
+        """Return the number of statements that could start, also beyond a reduced allowance."""
+        return max(0, max(self.slots, self.allowance) - self.load(now_ms))
+
     def can_continue(self, now_ms: int) -> bool:
         """Return whether the member can accept a statement of an open transaction.
 
@@ -138,7 +142,10 @@
 
         A statement whose answer is probably lost occupies none, although it is still awaited.
         """
-        return sum(not self._is_overdue(now_ms, started_ms) for started_ms in self._started_ms)
+        started = self._started_ms
+        if not started or now_ms - started[0] < MIN_OVERDUE_MS:
+            return len(started)
+        return sum(not self._is_overdue(now_ms, started_ms) for started_ms in started)
 
     def cost(self, now_ms: int, organisation: str) -> float:
         """Return the load that the next statement would meet, as a share of the slots."""
@@ -151,6 +158,8 @@
 
     def next_overdue_ms(self, now_ms: int) -> int | None:
         """Return when the next unanswered statement stops occupying a slot, None if none does."""
+        if not self._started_ms or self._started_ms[0] >= self._answered_start_ms:
+            return None
         overdue_ms = self._overdue_ms()
         times = [each + overdue_ms for each in self._started_ms if each < self._answered_start_ms]
         return min((math.ceil(each) for each in times if each > now_ms), default=None)
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -9,6 +9,8 @@
 
 from godwitthread.core.ownership import PeerReachability
 from godwitthread.core.scheduling import wait_limits
+from godwitthread.core.scheduling.admission import INITIAL_SLOT_MS
+from godwitthread.core.scheduling.retry_delays import RetryDelays
 from godwitthread.core.shutdown import Phase
 from godwitthread.core.statements import (
     Action,
@@ -125,6 +127,8 @@
         self._organisations: dict[str, Organisation] = {}
         self._eviction = PeerEviction(clock, ports, log, self.view.row_revision)
         self._ownerless_since_ms: dict[str, int] = {}
+        #: Retry delays of statements for which no owner was reached, by group.
+        self._retry_delays: dict[str, RetryDelays] = {}
         self._hello = Hello(peer.name, peer.incarnation)
 
     # Life cycle
@@ -219,9 +223,19 @@
                     if not not_run:
                         return failure(ErrorKind.CONNECTION_LOST, exc.message), owner
                     kind = ErrorKind.BACKEND_UNAVAILABLE
-                    return failure(kind, exc.message, ROUTE_RETRY_MS, True), owner
+                    delay_ms = self._retry_delay_ms(req, started_ms)
+                    return failure(kind, exc.message, delay_ms, True), owner
             eventlet.sleep(ROUTE_RETRY_MS / 1000)
 
+    def _retry_delay_ms(self, req: RunRequest, started_ms: int) -> int:
+        """Return a retry delay that spreads the callers over the capacity of their group."""
+        slots = sum(each.slots for each in self.view.members.values() if each.group == req.group)
+        # Each instance spreads its own callers over its part of the capacity.
+        spacing_ms = INITIAL_SLOT_MS * max(1, len(self.view.peers)) / max(1, slots)
+        delays = self._retry_delays.setdefault(req.group, RetryDelays())
+        left_ms = started_ms + req.remaining_ms - self.clock.now_ms()
+        return delays.reserve(self.clock.now_ms(), ROUTE_RETRY_MS, spacing_ms, left_ms)
+
     def _ownerless_ms(self, group: str, owner: str | None, now_ms: int) -> int:
         """Return for how long this instance has known no owner of a group, in ms."""
         if owner is not None:
