--- a/godwitthread/core/scheduling/dispatch.py
+++ b/godwitthread/core/scheduling/dispatch.py
@@ -190,10 +190,17 @@
 
     def may_start_later(self, now_ms: int, work: WorkItem) -> bool:
         """Return whether a waiting statement can start later, since only load makes it wait."""
-        if now_ms >= self._latest_start_ms(work):
+        if now_ms >= self.latest_start_ms(work):
             return False
         return any(self._is_eligible(now_ms, work, member) for member in self.members.values())
 
+    def latest_start_ms(self, work: WorkItem) -> int:
+        """Return the latest start of a statement that only load makes wait, in ms."""
+        if not work.limit_ms:
+            return work.deadline_ms
+        fastest = min((member.service_ms for member in self.members.values()), default=0.0)
+        return max(work.deadline_ms, int(work.limit_ms - 2 * fastest))
+
     def retry_after_ms(self, now_ms: int, work: WorkItem) -> int:
         """Return a retry delay for a statement whose member is missing."""
         slots = sum(member.slots for member in self.members.values()) or 1
@@ -295,12 +302,6 @@
             }
         return len(self._use_of)
 
-    def _latest_start_ms(self, work: WorkItem) -> int:
-        if not work.limit_ms:
-            return work.deadline_ms
-        fastest = min((member.service_ms for member in self.members.values()), default=0.0)
-        return max(work.deadline_ms, int(work.limit_ms - 2 * fastest))
-
     def _admit_late(
         self,
         now_ms: int,
@@ -310,7 +311,7 @@
         free: bool,
     ) -> Rejection | None:
         """Queue a statement that cannot meet its objective behind the others, or reject it."""
-        latest_ms = self._latest_start_ms(work)
+        latest_ms = self.latest_start_ms(work)
         needed = self._demand[id(lane)].slots(now_ms)
         slots = admission.late_slots(backlog.slots, needed)
         due_ms = lane.due * backlog.slot_ms / backlog.slots
@@ -336,7 +337,7 @@
                 if self._is_eligible(now_ms, work, member)
             ]
             if not able:
-                lane.add_late(work, self._latest_start_ms(work))
+                lane.add_late(work, self.latest_start_ms(work))
                 continue
             backlog = self._backlog(now_ms, work, lane, able)
             refused = self._admit_late(now_ms, work, lane, backlog, False)
@@ -392,7 +393,7 @@
 
     def _rank(self, work: WorkItem, late: bool) -> tuple[int, int, int, int]:
         if late:
-            return work.priority, self._latest_start_ms(work), 0, work.number
+            return work.priority, self.latest_start_ms(work), 0, work.number
         tag = self.shares.start_tag(work.organisation) if self._sharing else 0
         return work.priority, tag, work.objective_ms, work.number
 
@@ -400,7 +401,7 @@
         """Return whether late statements have less than their share, and one must start soon."""
         work = next(lane.late_in_order())
         slowest_ms = max(member.service_ms for member in self.members.values())
-        if self._latest_start_ms(work) - now_ms > URGENT_SERVICE_TIMES * slowest_ms:
+        if self.latest_start_ms(work) - now_ms > URGENT_SERVICE_TIMES * slowest_ms:
             return False
         slots = sum(member.slots for member in self.members.values() if member.usable)
         return self._late_use.slots(now_ms) < admission.LATE_SHARE * slots
--- a/godwitthread/gateway/groups/statement_queue.py
+++ b/godwitthread/gateway/groups/statement_queue.py
@@ -76,17 +76,18 @@
             with eventlet.Timeout(max(1, until_ms - now_ms) / 1000, False):
                 return self._on_outcome(event.wait())
             now_ms = self._clock.now_ms()
-            if until_ms >= work.limit_ms or not self.dispatcher.may_start_later(now_ms, work):
+            if not self.dispatcher.may_start_later(now_ms, work):
                 break
-            # Only load makes it wait, so it may start until its time limit.
-            until_ms = work.limit_ms
+            # Only load makes it wait, so it may start as long as its time limit can be met.
+            until_ms = self.dispatcher.latest_start_ms(work)
         self._events.pop(work.number, None)
         if not self.dispatcher.cancel(work.number):
             # The work was assigned or refused in the same iteration of the event loop.
             return self._on_outcome(event.wait())
-        no_primary = work.primary and not self.dispatcher.primary
         delay_ms = self.dispatcher.retry_after_ms(now_ms, work)
-        reason = 'no_primary' if no_primary else 'no_member'
+        reason = 'too_late' if until_ms > work.deadline_ms else 'no_member'
+        if work.primary and not self.dispatcher.primary:
+            reason = 'no_primary'
         return self._refuse(reason, Rejection(work, delay_ms))
 
     def _on_outcome(self, outcome: str | Rejection) -> str | Result:
--- a/tests/test_scheduling/overload.py
+++ b/tests/test_scheduling/overload.py
@@ -57,6 +57,8 @@
         self._running: Counter[str] = Counter(dict.fromkeys(self._queued, 0))
         self._counts: Counter[tuple[str, str]] = Counter()
         self._idle = 0
+        #: Time of the current event, in ms; the dispatcher sees whole ms.
+        self._at_ms = 0.0
         self._refused_late = 0
 
     def run(self, rates: dict[str, float], seconds: float = 8.0) -> Outcome:
@@ -68,7 +70,7 @@
         number = 0
         while self._events:
             at_ms, _, name, data = heapq.heappop(self._events)
-            now_ms = int(at_ms)
+            now_ms, self._at_ms = int(at_ms), at_ms
             if name == 'arrival':
                 number += 1
                 self._submit(now_ms, number, str(data))
@@ -117,7 +119,9 @@
         if self._queued[member] and self._running[member] < SLOTS:
             self._running[member] += 1
             work, sent_ms = self._queued[member].pop(0)
-            self._push(now_ms + self._random.uniform(*WORK_MS), 'answer', (work, member, sent_ms))
+            self._push(
+                self._at_ms + self._random.uniform(*WORK_MS), 'answer', (work, member, sent_ms)
+            )
 
     def _answer(self, now_ms: int, work: WorkItem, member: str, sent_ms: int) -> None:
         self._running[member] -= 1
