--- a/godwitthread/core/scheduling/dispatch.py
+++ b/godwitthread/core/scheduling/dispatch.py
@@ -137,20 +137,19 @@
             # The load says nothing about when a member will be there.
             lane.add_due(work, admission.INITIAL_SLOT_MS)
             return None
-        service_ms = min(member.service_ms for member in able)
+        in_time_ms = work.objective_ms - min(member.service_ms for member in able) - now_ms
+        free = self._has_free_slot(now_ms, lane, able)
+        if free and in_time_ms >= 0:
+            # A slot that is free now starts the statement, whatever is expected.
+            self._add_due(now_ms, lane, work, able[0].slot_ms(work.kind))
+            return None
         backlog = self._backlog(now_ms, work, lane, able)
         wait_ms = admission.wait_ms(backlog, self._sharing)
         if not self._sharing and wait_ms > SHARING_WAIT * (work.objective_ms - now_ms):
             self._sharing = True
             wait_ms = admission.wait_ms(backlog, True)
-        free = self._has_free_slot(now_ms, lane, able)
-        # A slot that is free now starts the statement, whatever is expected.
-        if (
-            now_ms + (0 if free else admission.WAIT_MARGIN * wait_ms) + service_ms
-            <= work.objective_ms
-        ):
-            lane.add_due(work, backlog.slot_ms)
-            self._demand[id(lane)].add(now_ms, backlog.slot_ms)
+        if admission.WAIT_MARGIN * wait_ms <= in_time_ms:
+            self._add_due(now_ms, lane, work, backlog.slot_ms)
             return None
         return self._admit_late(now_ms, work, lane, backlog, free)
 
@@ -176,11 +175,11 @@
         if not free and not self._sharing:
             return assigned
         for lane in (self._writes, self._reads):
-            if lane:
+            if lane.entries:
                 self._sort_out(now_ms, lane)
         if self.placement is not None:
             self.placement.begin_round()
-        while free:
+        while free and (self._writes.entries or self._reads.entries):
             start = self._next(now_ms, free)
             if start is None:
                 break
@@ -212,10 +211,17 @@
 
     def may_start_later(self, now_ms: int, work: WorkItem) -> bool:
         """Return whether a waiting statement can start later, since only load makes it wait."""
-        if now_ms >= self._latest_start_ms(work):
+        if now_ms >= self.latest_start_ms(work):
             return False
         return any(self._is_eligible(now_ms, work, member) for member in self.members.values())
 
+    def latest_start_ms(self, work: WorkItem) -> int:
+        """Return the latest start of a statement that only load makes wait, in ms."""
+        if not work.limit_ms:
+            return work.deadline_ms
+        fastest = min((member.service_ms for member in self.members.values()), default=0.0)
+        return max(work.deadline_ms, int(work.limit_ms - 2 * fastest))
+
     def retry_after_ms(self, now_ms: int, work: WorkItem) -> int:
         """Return a retry delay for a statement whose member is missing."""
         slots = sum(member.slots for member in self.members.values()) or 1
@@ -225,7 +231,7 @@
 
     def next_change_ms(self, now_ms: int) -> int | None:
         """Return when `assign` is to run again if no answer arrives, None if nothing waits."""
-        if not len(self):
+        if not (self._writes.entries or self._reads.entries or self._continuing):
             return None
         members = self.members.values()
         times = [now_ms + 1_000]
@@ -249,6 +255,10 @@
             times.append(kept_ms)
         return max(now_ms + 1, min(times))
 
+    def _add_due(self, now_ms: int, lane: Lane, work: WorkItem, slot_ms: float) -> None:
+        lane.add_due(work, slot_ms)
+        self._demand[id(lane)].add(now_ms, slot_ms)
+
     def _lane(self, work: WorkItem) -> Lane:
         return self._writes if work.primary else self._reads
 
@@ -275,10 +285,10 @@
 
     def _has_free_slot(self, now_ms: int, lane: Lane, able: list[MemberState]) -> bool:
         """Return whether a free slot is left for a new statement by those that wait."""
-        free = {member.id: member for member in able if member.can_accept(now_ms)}
-        slots = sum(member.allowance - member.load(now_ms) for member in free.values())
-        if not slots or len(lane) < slots:
+        slots = sum([member.free_slots(now_ms) for member in able])
+        if len(lane.entries) < slots or not slots:
             return bool(slots)
+        free = {member.id: member for member in able if member.free_slots(now_ms)}
         waiting = (work for work in lane if self._eligible(now_ms, work, free))
         return len(list(itertools.islice(waiting, slots))) < slots
 
@@ -315,12 +325,6 @@
             }
         return len(self._use_of)
 
-    def _latest_start_ms(self, work: WorkItem) -> int:
-        if not work.limit_ms:
-            return work.deadline_ms
-        fastest = min((member.service_ms for member in self.members.values()), default=0.0)
-        return max(work.deadline_ms, int(work.limit_ms - 2 * fastest))
-
     def _admit_late(
         self,
         now_ms: int,
@@ -330,7 +334,7 @@
         free: bool,
     ) -> Rejection | None:
         """Queue a statement that cannot meet its objective behind the others, or reject it."""
-        latest_ms = self._latest_start_ms(work)
+        latest_ms = self.latest_start_ms(work)
         needed = self._demand[id(lane)].slots(now_ms)
         slots = admission.late_slots(backlog.slots, needed)
         due_ms = lane.due * backlog.slot_ms / backlog.slots
@@ -348,7 +352,7 @@
 
     def _sort_out(self, now_ms: int, lane: Lane) -> None:
         """Move statements behind the others once they miss their objective; refuse expired ones."""
-        fastest_ms = min((member.service_ms for member in self.members.values()), default=0.0)
+        fastest_ms = min((each.service_ms for each in self.members.values()), default=0.0)
         for work in lane.take_turned_late(now_ms + fastest_ms / 2):
             able = [
                 member
@@ -356,7 +360,7 @@
                 if self._is_eligible(now_ms, work, member)
             ]
             if not able:
-                lane.add_late(work, self._latest_start_ms(work))
+                lane.add_late(work, self.latest_start_ms(work))
                 continue
             backlog = self._backlog(now_ms, work, lane, able)
             refused = self._admit_late(now_ms, work, lane, backlog, False)
@@ -385,11 +389,12 @@
 
     def _next(self, now_ms: int, free: dict[str, MemberState]) -> _Start | None:
         """Return the statement that starts next."""
-        urgent = self._first(now_ms, free, late=True, urgent=True)
+        late = bool(self._writes.late or self._reads.late)
+        urgent = self._first(now_ms, free, late=True, urgent=True) if late else None
         if urgent is not None:
             return urgent
         in_time = self._first(now_ms, free, late=False)
-        return in_time or self._first(now_ms, free, late=True)
+        return in_time or (self._first(now_ms, free, late=True) if late else None)
 
     def _first(
         self, now_ms: int, free: dict[str, MemberState], *, late: bool, urgent: bool = False
@@ -424,7 +429,7 @@
 
     def _rank(self, work: WorkItem, late: bool) -> tuple[int, int, int, int]:
         if late:
-            return work.priority, self._latest_start_ms(work), 0, work.number
+            return work.priority, self.latest_start_ms(work), 0, work.number
         tag = self.shares.start_tag(work.organisation) if self._sharing else 0
         return work.priority, tag, work.objective_ms, work.number
 
@@ -432,7 +437,7 @@
         """Return whether late statements have less than their share, and one must start soon."""
         work = next(lane.late_in_order())
         slowest_ms = max(member.service_ms for member in self.members.values())
-        if self._latest_start_ms(work) - now_ms > URGENT_SERVICE_TIMES * slowest_ms:
+        if self.latest_start_ms(work) - now_ms > URGENT_SERVICE_TIMES * slowest_ms:
             return False
         slots = sum(member.slots for member in self.members.values() if member.usable)
         return self._late_use.slots(now_ms) < admission.LATE_SHARE * slots
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from godwitthread.core.ownership import PeerReachability
+from godwitthread.core.scheduling.admission import INITIAL_SLOT_MS
 from godwitthread.core.shutdown import Phase
 from godwitthread.core.statements import (
     Result,
@@ -154,6 +155,7 @@
             self.ownership_manager.track_work,
             lambda: self.start_gate.reached,
             lambda: self.sessions.phase is Phase.STOPPING,
+            self._retry_spacing_ms,
         )
         self.sessions = Sessions(
             clock, lambda: self.view.configuration, self.router.run, log, metrics.observe
@@ -437,6 +439,14 @@
         near = [each for each in links_up if each.peer.failure_domain == self.peer.failure_domain]
         return near, links_up
 
+    def _retry_spacing_ms(self, group: str) -> float:
+        """Return the time between two callers of this instance that return to a group, in ms.
+
+        Each instance spreads its own callers over its part of the capacity.
+        """
+        slots = sum(each.slots for each in self.view.members.values() if each.group == group)
+        return INITIAL_SLOT_MS * max(1, len(self.view.peers)) / max(1, slots)
+
     def _admit(self, organisation: str, wait_ms: int, hold_ms: int) -> int:
         free = organisation == ANONYMOUS
         return 0 if free else self.rate_limiter.admit(organisation, wait_ms, hold_ms)
--- a/godwitthread/gateway/statement_router.py
+++ b/godwitthread/gateway/statement_router.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from godwitthread.core.scheduling import wait_limits
+from godwitthread.core.scheduling.retry_delays import RetryDelays
 from godwitthread.core.statements import (
     Action,
     Result,
@@ -53,6 +54,7 @@
         track_work: Callable[[str], None],
         is_ready: Callable[[], bool],
         is_stopping: Callable[[], bool],
+        retry_spacing_ms: Callable[[str], float],
     ) -> None:
         self._name = peer.name
         #: Sender of the statements that this instance runs for its own sessions.
@@ -67,6 +69,10 @@
         #: Returns whether this instance may own groups.
         self._is_ready = is_ready
         self._is_stopping = is_stopping
+        #: Returns the time between two callers that return to a group, in ms.
+        self._retry_spacing_ms = retry_spacing_ms
+        #: Retry delays of statements for which no owner was reached, by group.
+        self._retry_delays: dict[str, RetryDelays] = {}
         self._started_ms = clock.now_ms()
         self._ownerless_since_ms: dict[str, int] = {}
 
@@ -97,12 +103,21 @@
                     if not not_run:
                         return failure(ErrorKind.CONNECTION_LOST, exc.message), owner
                     kind = ErrorKind.BACKEND_UNAVAILABLE
-                    return failure(kind, exc.message, ROUTE_RETRY_MS, True), owner
+                    delay_ms = self._retry_delay_ms(req, started_ms)
+                    return failure(kind, exc.message, delay_ms, True), owner
                 moved += exc.kind is ErrorKind.MOVED
                 if exc.kind is ErrorKind.MOVED and self._homes.has_alternative(req.group, moved):
                     continue
             eventlet.sleep(ROUTE_RETRY_MS / 1000)
 
+    def _retry_delay_ms(self, req: RunRequest, started_ms: int) -> int:
+        """Return a retry delay that spreads the callers over the capacity of their group."""
+        now_ms = self._clock.now_ms()
+        left_ms = started_ms + req.remaining_ms - now_ms
+        delays = self._retry_delays.setdefault(req.group, RetryDelays())
+        spacing_ms = self._retry_spacing_ms(req.group)
+        return delays.reserve(now_ms, ROUTE_RETRY_MS, spacing_ms, left_ms)
+
     def _ownerless_ms(self, group: str, owner: str | None, now_ms: int) -> int:
         """Return for how long this instance has known no owner of a group, in ms."""
         if owner is not None:
