Test that connections are not mixed up and that their counts do not leak

Any order of reservations, refusals, releases and broken connections keeps each connection with its organisation, the total within the limit and the counts equal to what is open (hypothesis, 200 examples).

--- a/tests/test_gateway/test_connection_limit.py
+++ b/tests/test_gateway/test_connection_limit.py
@@ -2,14 +2,20 @@
 
 from __future__ import annotations
 
+import contextlib
+
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
+from godwitthread.clock import Clock
 from godwitthread.core.scheduling import connection_limit
 from godwitthread.core.scheduling.connection_limit import ConnectionLimit
 from godwitthread.core.statements import Refusal
+from godwitthread.gateway.groups.member_pool import MemberPool
 from godwitthread.gateway.ports import NotConnectedError
 from godwitthread.loop import eventlet
-from tests.test_gateway.fakes import FakeGroup, request, runner
+from tests.test_gateway.fakes import FakeGroup, members, request, runner
 from tests.test_gateway.virtual_members import (
     LimitedGroup,
     Load,
@@ -179,6 +185,46 @@
     assert not pool._reserved
 
 
+@settings(max_examples=200, deadline=None)
+@given(
+    st.lists(st.tuples(st.integers(0, 4), st.integers(0, 3), st.integers(0, 60)), max_size=80),
+    st.integers(0, 6),
+)
+def test_connections_are_never_mixed_up_or_lost_count_of(steps, accepts):
+    """Guard against a connection of another organisation, and against counts that leak."""
+    now_s, group, held, reserved = [1.0], FakeGroup(1), [], []
+    clock = Clock(lambda: now_s[0], lambda: now_s[0])
+
+    def connect(to, organisation):
+        if sum(not conn.closed for conn in group.connections) >= accepts:
+            raise NotConnectedError(Refusal.TOO_MANY, 'TOOMANY')
+        return group.connect(to, organisation)
+
+    pool = MemberPool(members(group)['m0'], 5, clock, connect, lambda *_: None)
+    for action, name, passed_ms in steps:
+        now_s[0] += passed_ms / 1000
+        organisation = f'o{name}'
+        if action < 2 and pool.has_room():
+            pool.reserve(organisation)
+            reserved.append(organisation)
+        elif action == 2 and reserved:
+            with contextlib.suppress(NotConnectedError):
+                wanted = reserved.pop(0)
+                conn = pool.acquire_reserved(wanted, {})
+                assert conn.organisation == wanted
+                assert conn not in held
+                held.append(conn)
+        elif action >= 3 and held:
+            conn = held.pop(0)
+            if action == 4:
+                conn.close()
+            pool.release(conn)
+        assert pool.total <= 5
+        assert pool._reserved.total() == len(reserved)
+        assert pool._in_use == set(held)
+        assert pool.total == sum(not conn.closed for conn in group.connections)
+
+
 @pytest.mark.parametrize('refused_at', [0, 5, 12])
 def test_one_connection_more_is_tried_at_a_time(refused_at):
     """Guard against a probe that opens many connections at once."""
