--- a/godwitthread/core/home_domains.py
+++ b/godwitthread/core/home_domains.py
@@ -85,8 +85,8 @@
         home = self._homes.get(group)
         return home.former if home and now_ms - home.moved_ms < FORMER_MS else ''
 
-    def tick(self, now_ms: int) -> bool:
-        """Move the groups whose primary has stayed elsewhere; return whether any moved."""
+    def tick(self, now_ms: int) -> list[str]:
+        """Move the groups whose primary has stayed elsewhere, and return them."""
         if now_ms - self._tick_ms >= SUSPENDED_MS:
             self.confirmed, self._since_ms = False, now_ms
         self._tick_ms = now_ms
@@ -98,7 +98,7 @@
         }
         for group, home in due.items():
             self._homes[group] = _Home(home.next_domain, former=home.domain, moved_ms=now_ms)
-        return bool(due)
+        return list(due)
 
     def report(self, now_ms: int) -> tuple[HomeReport, ...]:
         """Return the times for an instance that has started, none while they are uncertain."""
--- a/godwitthread/core/ownership.py
+++ b/godwitthread/core/ownership.py
@@ -93,9 +93,11 @@
     names = [peer.name for peer in peers if peer.name in eligible_names]
     min_capacity = MIN_CAPACITY_SHARE * max((peer.capacity for peer in peers), default=0.0)
     slow = {peer.name for peer in peers if peer.capacity < min_capacity}
+    order = sorted(rendezvous.ranked(resource, names), key=lambda name: name in slow)
+    if not domains:
+        return order
     rank = {domain: number for number, domain in enumerate(domains)}
     distance = {peer.name: rank.get(peer.failure_domain, len(rank)) for peer in peers}
-    order = rendezvous.ranked(resource, names)
     return sorted(order, key=lambda name: (name in slow, distance[name]))
 
 
--- a/godwitthread/gateway/group_homes.py
+++ b/godwitthread/gateway/group_homes.py
@@ -71,7 +71,7 @@
             before = self._homes.preferred(group)
             self._homes.observe(self._clock.now_ms(), group, primary_domain(members))
             if before != self._homes.preferred(group):
-                self._manager.invalidate()
+                self._manager.invalidate_group(group)
 
     def remove(self, group: str) -> None:
         """Forget a group that is no longer in the configuration."""
@@ -82,8 +82,8 @@
         """Move the groups whose primary has stayed in another failure domain."""
         if self._homes is None:
             return
-        if self._homes.tick(self._clock.now_ms()):
-            self._manager.invalidate()
+        for group in self._homes.tick(self._clock.now_ms()):
+            self._manager.invalidate_group(group)
         reached = [name for name, link in self._links.items() if link.up]
         if not self._homes.confirmed and not self._asking and reached:
             # One at a time, since the answer grows with the number of groups.
--- a/godwitthread/gateway/ownership_manager.py
+++ b/godwitthread/gateway/ownership_manager.py
@@ -245,6 +245,13 @@
             domains = self.homes.preferred(resource.removeprefix(GROUP_PREFIX))
         return ownership.ranked(resource, self.candidates, set(names), domains)
 
+    def invalidate_group(self, name: str) -> None:
+        """Determine the owner of one group again, since its ranking changed."""
+        resource = f'{GROUP_PREFIX}{name}'
+        for cache in (self._owners, self._agreed, self._ranks):
+            cache.pop(resource, None)
+        self._reconciled_inputs = None
+
     def invalidate(self) -> None:
         """Determine all owners again, since the ranking changed."""
         self._inputs = self._reconciled_inputs = None
