Describe when leaving the failure domain pays

Cause: operators and the other parts need the decision, its figures and what was not chosen.

An instance closes the idle connections of a group that it ran for senders with another ranking.

--- a/docs/conf.py
+++ b/docs/conf.py
@@ -28,6 +28,7 @@
     'operating/failure-primary-lost',
     'operating/failure-store-down',
     'operating/failure-domain-out',
+    'operating/failure-domains',
     'operating/failure-key-leaked',
     'operating/failure-rate-too-low',
     'operating/failure-instance-replaced',
--- a/godwitthread/gateway/groups/member_group.py
+++ b/godwitthread/gateway/groups/member_group.py
@@ -226,7 +226,7 @@
         now_ms = self._clock.now_ms()
         for assignment in self.dispatcher.assign(now_ms):
             if self.crossings is not None and not assignment.work.primary:
-                domain = self.members[assignment.member].failure_domain
+                domain = self.dispatcher.members[assignment.member].failure_domain
                 self.crossings.record_choice(domain, assignment.reason)
             event = self._events.pop(assignment.work.number, None)
             if event is not None:
--- a/godwitthread/gateway/ownership_manager.py
+++ b/godwitthread/gateway/ownership_manager.py
@@ -210,6 +210,9 @@
             runner = self._groups[name].runner
             eventlet.spawn_n(runner.tick, False)
             if not runner.has_open_work():
+                if self.homes is not None:
+                    # It may have run operations of senders with another ranking.
+                    runner.disable_pooling()
                 self._draining_groups.discard(name)
 
     def track_work(self, name: str) -> None:
