--- a/godwitthread/gateway/groups/member_group.py
+++ b/godwitthread/gateway/groups/member_group.py
@@ -227,7 +227,7 @@
 
     def _on_assigned(self, assignment: Assignment) -> None:
         if self.crossings is not None and not (assignment.work.primary or assignment.work.member):
-            domain = self.members[assignment.member].failure_domain
+            domain = self.dispatcher.members[assignment.member].failure_domain
             self.crossings.record_choice(domain, assignment.reason)
 
     def _next_room_ms(self) -> int | None:
--- a/godwitthread/gateway/ownership_manager.py
+++ b/godwitthread/gateway/ownership_manager.py
@@ -210,6 +210,9 @@
             runner = self._groups[name].runner
             eventlet.spawn_n(runner.tick, False)
             if not runner.has_open_work():
+                if self.homes is not None:
+                    # It may have run operations of senders with another ranking.
+                    runner.disable_pooling()
                 self._draining_groups.discard(name)
 
     def track_work(self, name: str) -> None:
@@ -245,6 +248,13 @@
             domains = self.homes.preferred(resource.removeprefix(GROUP_PREFIX))
         return ownership.ranked(resource, self.candidates, set(names), domains)
 
+    def invalidate_group(self, name: str) -> None:
+        """Determine the owner of one group again, since its ranking changed."""
+        resource = f'{GROUP_PREFIX}{name}'
+        for cache in (self._owners, self._agreed, self._ranks):
+            cache.pop(resource, None)
+        self._reconciled_inputs = None
+
     def invalidate(self) -> None:
         """Determine all owners again, since the ranking changed."""
         self._inputs = self._reconciled_inputs = None
