Limit what callers make a gateway process hold

Cause: nothing bounded the memory and the descriptors that callers cause: unfinished lines, answers that are not taken, session state, connections without a session. A line in small pieces was copied whole for each piece.

Change: core/memory_budget.py accounts for lines, statements, answers, session state, unread data and links within a budget derived from Limits.MemoryMb, and names the connections to end: those that cost most and progress least. core/caller_limits.py derives all limits, which GODWITTHREAD_... variables replace. LineReader searches each byte once. Connections of each port are limited by Limits.MaxFds; a new caller takes the place of one without a START. Lines, answers, START and the first frame of a peer have time limits. SET and PREPARE are limited by session. An owner short of memory refuses large statements of peers as not run. An answer larger than a frame fails alone, where it ended the link. Event limit_reached (409), metrics of memory, connections and limits reached.

--- a/godwitthread/events.py
+++ b/godwitthread/events.py
@@ -124,6 +124,7 @@
         _event_type(
             408, 'answer_not_delivered', 'connection ended before the answer', logging.WARNING
         ),
+        _event_type(409, 'limit_reached', 'limit on callers reached', logging.WARNING),
         _event_type(501, 'share_owner_changed', 'share owner changed'),
         _event_type(502, 'share_changed', 'share changed', logging.DEBUG),
         _event_type(505, 'rate_not_granted', 'rate grant request failed', logging.WARNING),
--- a/godwitthread/gateway/frames.py
+++ b/godwitthread/gateway/frames.py
@@ -20,6 +20,8 @@
 
 #: Maximum frame size in bytes; a frame holds a line of up to 1 MiB and its metadata.
 MAX_FRAME_BYTES = 4 * 1024 * 1024
+#: Maximum size of the first frame, in bytes; it holds only a name and a number.
+MAX_HELLO_BYTES = 4 * 1024
 #: Bytes read from a socket at once.
 READ_BYTES = 64 * 1024
 
@@ -88,7 +90,15 @@
         self._sock = sock
         self._queue: list[bytes] = []
         self._wake = eventlet.event.Event()
-        self._buffer = b''
+        self._buffer = bytearray()
+        #: Maximum size of the next frame, in bytes.
+        self.limit = MAX_FRAME_BYTES
+        #: Bytes that were queued for sending and not sent yet.
+        self._queued_bytes = 0
+        #: Whether the peer that opened the connection has yet to identify itself.
+        self.awaits_hello = False
+        #: Time at which the connection was accepted, in ms.
+        self.opened_ms = 0
         self._thread = eventlet.spawn(self._write)
         self.closed = False
         self._sending = False
@@ -102,6 +112,11 @@
         """Return whether frames wait to be sent."""
         return not self.closed and (self._sending or bool(self._queue))
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the bytes of frames that were received in part, or not sent yet."""
+        return len(self._buffer) + self._queued_bytes
+
     def send(self, call_id: int, kind: str, body: Any) -> None:
         """Queue a frame for sending."""
         self.send_raw(encoder.encode((call_id, kind, body)))
@@ -109,6 +124,7 @@
     def send_raw(self, data: bytes) -> None:
         """Queue an encoded frame for sending."""
         self._queue.append(_LENGTH.pack(len(data)) + data)
+        self._queued_bytes += len(data)
         if not self._wake.ready():
             self._wake.send()
 
@@ -122,11 +138,13 @@
         while True:
             if len(self._buffer) >= _LENGTH.size:
                 (length,) = _LENGTH.unpack_from(self._buffer)
-                if length > MAX_FRAME_BYTES:
+                if length > self.limit:
                     raise ConnectionResetError(f'frame of {length} bytes')
                 end = _LENGTH.size + length
                 if len(self._buffer) >= end:
-                    frame, self._buffer = self._buffer[_LENGTH.size : end], self._buffer[end:]
+                    with memoryview(self._buffer) as view:
+                        frame = bytes(view[_LENGTH.size : end])
+                    del self._buffer[:end]
                     return frame
             data = receive(self._sock, READ_BYTES)
             if not data:
@@ -157,7 +175,9 @@
             data, self._queue = b''.join(self._queue), []
             self._sending = True
             try:
-                self._sock.sendall(data)
+                # Without a memory view, each further send would copy the rest.
+                self._sock.sendall(memoryview(data))
+                self._queued_bytes = sum(map(len, self._queue))
             except OSError as exc:
                 logger.debug('sending frames failed: %s', exc)
                 self.close()
--- a/godwitthread/gateway/link_server.py
+++ b/godwitthread/gateway/link_server.py
@@ -9,12 +9,15 @@
 import msgspec
 
 from godwitthread.core.ownership import PEER_TIMEOUT_MS
+from godwitthread.core.statements import failure
 from godwitthread.errors import ErrorKind, ProxyError
 from godwitthread.gateway import frames
 from godwitthread.gateway.frames import (
     DEPARTED,
     FAILED,
     HEARTBEAT,
+    MAX_FRAME_BYTES,
+    MAX_HELLO_BYTES,
     TABLE_REPORTS,
     ErrorReply,
     Frame,
@@ -43,6 +46,9 @@
 #: received no answer to a heartbeat since.
 ABANDONED_MS = PEER_TIMEOUT_MS + HEARTBEAT_MS
 
+#: Answer in place of one that is larger than a frame; only a statement has such an answer.
+TOO_LARGE = failure(ErrorKind.STATEMENT_FAILED, 'the answer is larger than an instance can pass on')
+
 _hellos = msgspec.msgpack.Decoder(Hello)
 _heartbeats = msgspec.msgpack.Decoder(Heartbeat)
 
@@ -73,6 +79,8 @@
     """Answer the calls of one peer until its connection ends; list its stream in `streams`."""
     configure(sock)
     stream = FrameStream(sock)
+    stream.limit, stream.opened_ms = MAX_HELLO_BYTES, clock.now_ms()
+    stream.awaits_hello = True
     streams.add(stream)
     sender = ''
     try:
@@ -80,7 +88,8 @@
         if first is None:
             return
         hello = _hellos.decode(first)
-        stream.peer_name = hello.name
+        stream.peer_name, stream.limit = hello.name, MAX_FRAME_BYTES
+        stream.awaits_hello = False
         # Each connection is a separate sender: its open transactions end with it, and a later
         # connection of the same peer never joins them.
         sender = f'{hello.name}/{hello.incarnation}/{next(_connections)}'
@@ -119,8 +128,13 @@
     except Exception:
         logger.exception('handler of call %r failed', frame.kind)
         kind, body = FAILED, ErrorReply(ErrorKind.INTERNAL.value, 'handler failed')
-    if not stream.closed:
-        stream.send(-frame.call_id, kind, body)
+    if stream.closed:
+        return
+    data = frames.encoder.encode((-frame.call_id, kind, body))
+    if len(data) > MAX_FRAME_BYTES:
+        # The receiver would end the link, and all statements on it would fail.
+        data = frames.encoder.encode((-frame.call_id, kind, TOO_LARGE))
+    stream.send_raw(data)
 
 
 def _sending_time(heartbeat: Frame) -> int | None:
--- a/godwitthread/gateway/links.py
+++ b/godwitthread/gateway/links.py
@@ -90,6 +90,11 @@
         """Return whether the peer is connected and not silent."""
         return self._stream is not None and self._clock.now_ms() - self._heard_ms < PEER_TIMEOUT_MS
 
+    @property
+    def stream(self) -> FrameStream | None:
+        """Return the stream to the peer, None while it is not connected."""
+        return self._stream
+
     @property
     def announced_end(self) -> bool:
         """Return whether the process of the peer announced that it ends."""
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -21,6 +21,7 @@
 from godwitthread.errors import ErrorKind, ProxyError
 from godwitthread.gateway import link_server, links
 from godwitthread.gateway.authority_manager import AuthorityManager, ClaimRequest
+from godwitthread.gateway.caller_guard import refusal_for_memory
 from godwitthread.gateway.duty_router import DutyRouter
 from godwitthread.gateway.frames import FrameStream, HeartbeatStatus, Hello
 from godwitthread.gateway.grant_router import GrantRouter
@@ -44,6 +45,7 @@
 if TYPE_CHECKING:
     from godwitthread.clock import Clock
     from godwitthread.core.catalog import Configuration, Group, Organisation, Peer
+    from godwitthread.gateway.caller_guard import CallerGuard
     from godwitthread.gateway.logs import Log
     from godwitthread.gateway.metrics import Metrics
     from godwitthread.gateway.ports import Ports
@@ -67,7 +69,15 @@
 class Node:
     """Serve sessions and own groups as one instance of a deployment."""
 
-    def __init__(self, peer: Peer, clock: Clock, ports: Ports, log: Log, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        peer: Peer,
+        clock: Clock,
+        ports: Ports,
+        log: Log,
+        metrics: Metrics,
+        guard: CallerGuard | None = None,
+    ) -> None:
         self.peer = peer
         self.clock = clock
         self.log = log
@@ -78,6 +88,7 @@
         self.inbound: set[FrameStream] = set()
         #: Number of statements of peers that run at this instance.
         self.peer_statements = 0
+        self._guard = guard
         self._ports = ports
         self._started_ms = clock.now_ms()
         self._ready_to_own = False
@@ -94,7 +105,7 @@
             ReaderRole(self._reads_store, lambda: self.ownership_manager.rank('store')),
         )
         self.sessions = Sessions(
-            clock, lambda: self.view.configuration, self.run, log, metrics.observe
+            clock, lambda: self.view.configuration, self.run, log, metrics.observe, guard
         )
         self.rate_limiter = RateLimiter(
             clock, self._organisation, lambda *args: self.grant_router.ask(*args), log
@@ -182,6 +193,10 @@
         """Return the status that peers receive with each heartbeat."""
         return HeartbeatStatus(self.leaving, self._ready_to_own, self.duty.token)
 
+    def streams(self) -> list[FrameStream]:
+        """Return the streams of all peers, in both directions."""
+        return [*self.inbound, *(each.stream for each in self._links.values() if each.stream)]
+
     def owned_groups(self) -> int:
         """Return the number of groups that this instance owns."""
         return len(self.ownership_manager.owned)
@@ -290,11 +305,17 @@
         return calls
 
     def _run_for_peer(self, sender: str, req: RunRequest) -> Result:
+        reserved = self._guard.reserve(req) if self._guard else 0
+        if reserved is None:
+            # The entry instance passes on more than this instance can hold.
+            return refusal_for_memory(req)
         self.peer_statements += 1
         try:
             return self._run_here(sender, req)
         finally:
             self.peer_statements -= 1
+            if reserved and self._guard:
+                self._guard.budget.release(reserved)
 
     def _answer_claim(self, sender: str, req: ClaimRequest) -> Any:
         return self.authority.answer(sender.rpartition('/')[0], req)
--- a/godwitthread/gateway/session.py
+++ b/godwitthread/gateway/session.py
@@ -5,7 +5,7 @@
 import contextlib
 import logging
 from collections.abc import Callable
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from godwitthread.core.shutdown import Phase
 from godwitthread.core.statements import (
@@ -37,6 +37,15 @@
 STOPPED_MESSAGE = 'the instance stopped'
 WITHDRAWN_MESSAGE = 'the key was withdrawn; the transaction was rolled back'
 
+MEMORY_MESSAGE = 'the instance is short of memory'
+STATE_MESSAGE = 'the values and prepared statements of the session exceed the limit'
+#: Delay after which a statement that was refused for lack of memory may be sent again, in ms.
+MEMORY_RETRY_MS = 200
+#: Part of a caller's text that is written to the log, in characters; events are kept in memory.
+MAX_LOGGED = 128
+#: Memory of an entry of the session state without its text, in bytes.
+ENTRY_BYTES = 200
+
 _NO_RESULT = Result()
 
 
@@ -62,6 +71,8 @@
         self._key = key
         self._values: dict[str, str] = {}
         self._prepared: dict[str, Prepared] = {}
+        #: Size of the values and prepared statements, in bytes.
+        self.state_bytes = 0
         self._seen: Position | None = None
         self._port: CallerPort | None = None
         #: Whether a statement is unanswered.
@@ -152,7 +163,7 @@
         """Log an answer that could not be sent."""
         self._sessions.log.failure(
             'answer_not_delivered',
-            request=statement.id if statement else '',
+            request=statement.id[:MAX_LOGGED] if statement else '',
             session=self.number,
             database=self._database,
             outcome=result.error or 'done',
@@ -194,6 +205,14 @@
             return failure(ErrorKind.SHUTTING_DOWN, CLOSING_MESSAGE, RECONNECT_DELAY_MS)
         return self._fail_in_transaction(failure(ErrorKind.TRANSACTION_LOST, CLOSING_MESSAGE))
 
+    def shed(self) -> Result:
+        """Return the answer to a statement that is not started, since memory is short."""
+        if self.state is TxState.IDLE:
+            return failure(ErrorKind.OVERLOADED, MEMORY_MESSAGE, MEMORY_RETRY_MS)
+        if self.state is TxState.FAILED:
+            return failure(ErrorKind.MALFORMED_REQUEST, 'the transaction has failed; end it first')
+        return self._fail_in_transaction(failure(ErrorKind.TRANSACTION_LOST, MEMORY_MESSAGE))
+
     # Statements that the session answers itself
 
     def _begin(self, statement: Statement) -> Result:
@@ -207,18 +226,37 @@
         return _NO_RESULT
 
     def _set(self, statement: Statement) -> Result:
-        self._values[statement.name] = statement.argument
-        return _NO_RESULT
+        return self._keep(self._values, statement.name, statement.argument, _text_bytes)
 
     def _prepare(self, statement: Statement) -> Result:
-        self._prepared[statement.name] = Prepared(statement.read_only, statement.argument)
+        prepared = Prepared(statement.read_only, statement.argument)
+        return self._keep(self._prepared, statement.name, prepared, _prepared_bytes)
+
+    def _keep(
+        self, entries: dict[str, Any], name: str, value: Any, size: Callable[[Any], int]
+    ) -> Result:
+        """Keep a value or a prepared statement unless the state of the session grows too much."""
+        former = entries.get(name)
+        added = size(value)
+        added += -size(former) if former is not None else ENTRY_BYTES + len(name)
+        limits = self._sessions.limits
+        too_many = former is None and (
+            len(self._values) + len(self._prepared) >= limits.session_names
+        )
+        if too_many or (added > 0 and self.state_bytes + added > limits.session_bytes):
+            self._sessions.note_limit('session_state')
+            return self._fail_in_transaction(failure(ErrorKind.BODY_TOO_LARGE, STATE_MESSAGE))
+        entries[name] = value
+        self.state_bytes += added
         return _NO_RESULT
 
     def _deallocate(self, statement: Statement) -> Result:
-        if self._prepared.pop(statement.name, None) is None:
+        prepared = self._prepared.pop(statement.name, None)
+        if prepared is None:
             return self._fail_in_transaction(
                 failure(ErrorKind.PREPARED_UNKNOWN, 'no such prepared statement')
             )
+        self.state_bytes -= ENTRY_BYTES + len(statement.name) + len(prepared.shape)
         return _NO_RESULT
 
     def _end(self, statement: Statement) -> Result:
@@ -258,7 +296,7 @@
         try:
             result, owner = self._sessions.run(req, self._owner)
         except Exception:
-            logger.exception('statement %s failed', statement.id)
+            logger.exception('statement %s failed', statement.id[:MAX_LOGGED])
             result, owner = unknown_outcome(req, 'internal error'), self._owner
             if self.state is TxState.OPEN:
                 self._roll_back(self._route, self._owner)
@@ -368,7 +406,7 @@
 
     def _report(self, statement: Statement, result: Result, took_ms: int) -> None:
         fields = {
-            'request': statement.id,
+            'request': statement.id[:MAX_LOGGED],
             'session': self.number,
             'verb': statement.verb.value,
             'database': self._database,
@@ -383,6 +421,14 @@
             self._sessions.log.success('statement_done', **fields, position=result.position)
 
 
+def _text_bytes(value: str) -> int:
+    return len(value)
+
+
+def _prepared_bytes(prepared: Prepared) -> int:
+    return len(prepared.shape)
+
+
 _LOCAL_HANDLERS = {
     Verb.BEGIN: Session._begin,
     Verb.SET: Session._set,
--- a/godwitthread/gateway/sessions.py
+++ b/godwitthread/gateway/sessions.py
@@ -5,10 +5,11 @@
 import itertools
 from typing import TYPE_CHECKING
 
+from godwitthread.core.caller_limits import CallerLimits
 from godwitthread.core.shutdown import Phase
 from godwitthread.core.statements import failure
 from godwitthread.errors import ErrorKind
-from godwitthread.gateway.session import CLOSING_MESSAGE, RECONNECT_DELAY_MS, Session
+from godwitthread.gateway.session import CLOSING_MESSAGE, MAX_LOGGED, RECONNECT_DELAY_MS, Session
 from godwitthread.loop import eventlet
 
 if TYPE_CHECKING:
@@ -17,6 +18,7 @@
     from godwitthread.clock import Clock
     from godwitthread.core.catalog import Configuration, Organisation, Route
     from godwitthread.core.statements import Result, RunRequest
+    from godwitthread.gateway.caller_guard import CallerGuard
     from godwitthread.gateway.logs import Log
 
     #: Runs a statement at the owner of a group. Takes the request and the instance that holds the
@@ -40,6 +42,7 @@
         runner: Runner,
         log: Log,
         observe: Callable[[str, str, int], None],
+        guard: CallerGuard | None = None,
     ) -> None:
         self.clock = clock
         self.log = log
@@ -48,6 +51,8 @@
         self.run = runner
         #: Phase that determines which sessions end and which statements may start.
         self.phase = Phase.SERVING
+        self._guard = guard
+        self.limits = guard.limits if guard else CallerLimits()
         self._configuration = configuration
         self._numbers = itertools.count(1)
         self._open: dict[int, Session] = {}
@@ -61,7 +66,9 @@
         if refusal is None and self.phase >= Phase.DRAINING:
             refusal = failure(ErrorKind.SHUTTING_DOWN, CLOSING_MESSAGE, RECONNECT_DELAY_MS)
         if refusal is not None:
-            self.log.failure('session_refused', database=database, reason=refusal.error)
+            self.log.failure(
+                'session_refused', database=database[:MAX_LOGGED], reason=refusal.error
+            )
             return None, refusal
         session = Session(self, next(self._numbers), database, key)
         self._open[session.number] = session
@@ -90,6 +97,11 @@
         current = cfg.keys.get(key)
         return current is None or current.name != organisation
 
+    def note_limit(self, limit: str) -> None:
+        """Count that a session reached a limit."""
+        if self._guard is not None:
+            self._guard.note(limit)
+
     def end_withdrawn(self) -> None:
         """End idle transactions of withdrawn keys; others end at their next statement."""
         for session in list(self._open.values()):
--- a/godwitthread/platform/caller_connection.py
+++ b/godwitthread/platform/caller_connection.py
@@ -2,34 +2,40 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 from functools import partial
+from socket import SHUT_WR
 from typing import TYPE_CHECKING
 
+from godwitthread.core.caller_limits import CallerLimits
+from godwitthread.core.memory_budget import CONNECTION_BYTES, SMALL_BYTES, Activity
 from godwitthread.core.statements import TxState
 from godwitthread.errors import ErrorKind
+from godwitthread.gateway.caller_guard import LINGER_BYTES, LINGER_S, CallerGuard
 from godwitthread.gateway.session import CallerPort
+from godwitthread.loop import eventlet
 from godwitthread.platform.line_protocol import (
     MAX_LINE_BYTES,
+    READ_BYTES,
     LineReader,
     LineTooLongError,
     encode,
     parse_query,
     ready,
 )
-from godwitthread.sockets import shutdown_socket
+from godwitthread.sockets import receive, shutdown_socket
 
 if TYPE_CHECKING:
     import socket
 
-    from godwitthread.core.statements import Result
+    from godwitthread.core.memory_budget import Account
+    from godwitthread.core.statements import Result, Statement
     from godwitthread.gateway.session import Session
     from godwitthread.gateway.sessions import Sessions
 
 logger = logging.getLogger(__name__)
 
-#: Time within which a caller must send the `START` line, in s.
-START_TIMEOUT_S = 10
 #: Maximum length of the `START` line, in bytes; it holds only a database name and a key.
 #: With the limit of later lines, thousands of unauthenticated callers could exhaust the memory.
 MAX_START_LINE_BYTES = 4_096
@@ -58,76 +64,167 @@
 }
 
 
-def serve(sock: socket.socket, sessions: Sessions) -> None:
+def serve(sock: socket.socket, sessions: Sessions, guard: CallerGuard | None = None) -> None:
     """Authenticate a caller and serve its statements until the connection is closed."""
-    session = None
+    guard = guard or CallerGuard(CallerLimits(), sessions.clock, sessions.log)
     reader = LineReader(sock, MAX_START_LINE_BYTES)
+    account = guard.open(sock, reader.close)
+    if account is None:
+        sock.close()
+        return
+    connection = _Connection(sock, reader, sessions, guard, account)
     try:
-        sock.settimeout(START_TIMEOUT_S)
-        command, _, rest = (reader.read() or '').partition(' ')
-        database, _, key = rest.partition(' ')
-        if command != 'START' or not database:
-            return
-        session, refusal = sessions.open(database, key)
-        if refusal is not None:
-            sock.sendall(encode(_format_error(refusal)))
-            return
-        assert session is not None
-        reader.limit = MAX_LINE_BYTES
-        sock.sendall(encode(ready(TxState.IDLE)))
-        sock.settimeout(None)
-        answer_last = partial(_answer_last, sock, reader, session)
-        session.attach(CallerPort(partial(shutdown_socket, sock), reader.has_input, answer_last))
-        _serve_queries(sock, reader, session)
+        connection.run()
     except LineTooLongError:
+        guard.note('line_length')
         logger.debug('caller connection closed: line exceeds the maximum length')
     except OSError as exc:
         logger.debug('caller connection closed: %s', exc)
     finally:
-        if session is not None:
-            session.close()
+        connection.close()
+        if connection.session is not None:
+            connection.session.close()
         sock.close()
 
 
-def _serve_queries(sock: socket.socket, reader: LineReader, session: Session) -> None:
-    while not session.ending:
-        line = reader.read()
-        if line is None or session.closed:
-            # A request that arrived after the connection was shut down is not executed.
-            return
-        command, _, rest = line.partition(' ')
-        if command == 'BYE':
+class _Connection:
+    """Connection of one caller, within the limits of the process."""
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        reader: LineReader,
+        sessions: Sessions,
+        guard: CallerGuard,
+        account: Account,
+    ) -> None:
+        self.session: Session | None = None
+        self._sock = sock
+        self._sessions = sessions
+        self._guard = guard
+        self._account = account
+        self._reader = reader
+
+    def run(self) -> None:
+        """Open a session and serve its statements."""
+        sock, reader = self._sock, self._reader
+        command, _, rest = (reader.read() or '').partition(' ')
+        database, _, key = rest.partition(' ')
+        if command != 'START' or not database or self._account.ended:
             return
-        session.running = True
-        statement = parse_query(rest) if command == 'QUERY' else None
-        result = session.malformed() if statement is None else session.run(statement)
-        if session.closed:
-            # The caller has received the final answer meanwhile.
+        session, refusal = self._sessions.open(database, key)
+        if refusal is not None:
+            sock.sendall(encode(_format_error(refusal)))
             return
-        session.answering = True
-        try:
-            _answer(sock, session, result)
-        except OSError:
-            session.report_undelivered(statement, result)
-            raise
-        session.mark_answered()
-
-
-def _answer(sock: socket.socket, session: Session, result: Result) -> None:
+        assert session is not None
+        self.session = session
+        reader.limit, reader.on_partial = MAX_LINE_BYTES, self._note_partial
+        sock.sendall(encode(ready(TxState.IDLE)))
+        answer_last = partial(_answer_last, sock, reader, session)
+        session.attach(CallerPort(partial(shutdown_socket, sock), reader.has_input, answer_last))
+        self._serve_queries(session)
+
+    def close(self) -> None:
+        """Free what the connection holds."""
+        self._reader.close()
+        self._guard.close(self._account)
+
+    def _serve_queries(self, session: Session) -> None:
+        guard, account = self._guard, self._account
+        while not session.ending:
+            account.activity = Activity.IDLE
+            line = self._reader.read()
+            if line is None or session.closed or account.ended:
+                # A request that arrived after the connection was shut down is not executed.
+                return
+            if line == 'BYE' or line.startswith('BYE '):
+                return
+            session.running = True
+            guard.enter(account, Activity.RUNNING)
+            size = len(line) + session.state_bytes
+            statement = parse_query(line[6:]) if line.startswith('QUERY ') else None
+            # The text is not kept twice while the statement runs.
+            del line
+            result = self._run(session, statement, size)
+            if session.closed:
+                # The caller has received the final answer meanwhile.
+                return
+            session.answering = True
+            data = _encode_answer(session, result)
+            if len(data) > SMALL_BYTES:
+                # While it is sent, an answer exists as encoded bytes only.
+                result = result._replace(rows=())
+            try:
+                self._send_answer(session, data)
+            except OSError:
+                session.report_undelivered(statement, result)
+                raise
+            del data
+            session.mark_answered()
+            if self._reader.has_more:
+                # A caller that sends ahead always has a line ready; nothing else would run.
+                eventlet.sleep(0)
+            if account.last:
+                self._end_after_answer()
+                return
+
+    def _run(self, session: Session, statement: Statement | None, size: int) -> Result:
+        if not self._guard.admit(self._account, size):
+            return session.shed()
+        return session.malformed() if statement is None else session.run(statement)
+
+    def _note_partial(self, size: int) -> None:
+        """Account for a line that was received in part; its time limit starts with its first byte.
+
+        Nothing can be received while the statement before it runs, since it is not read then.
+        """
+        if self._account.activity is not Activity.LINE:
+            self._guard.enter(self._account, Activity.LINE)
+        if size > SMALL_BYTES:
+            self._guard.charge(self._account, line=size)
+
+    def _send_answer(self, session: Session, data: bytes) -> None:
+        guard, account = self._guard, self._account
+        guard.enter(account, Activity.ANSWERING)
+        state = session.state_bytes
+        costly = len(data) > SMALL_BYTES or state != account.costs.state
+        if costly or account.total > CONNECTION_BYTES:
+            answer = len(data) if len(data) > SMALL_BYTES else 0
+            guard.charge(account, line=0, statement=0, answer=answer, unread=0, state=state)
+        # Without a memory view, each further send would copy the rest.
+        self._sock.sendall(memoryview(data))
+        if account.costs.answer:
+            guard.charge(account, answer=0)
+
+    def _end_after_answer(self) -> None:
+        """Close the connection so that the last answer is not lost.
+
+        If data is unread when a socket is closed, the caller's system discards the answer.
+        """
+        self._guard.close(self._account)
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(SHUT_WR)
+            self._sock.settimeout(LINGER_S)
+            left = LINGER_BYTES
+            while left > 0 and (data := receive(self._sock, READ_BYTES)):
+                left -= len(data)
+
+
+def _encode_answer(session: Session, result: Result) -> bytes:
     lines = [f'ROW {row}' for row in result.rows]
     lines.append(_format_error(result) if result.error else f'DONE {result.receipt}')
     lines.append(ready(session.state, result.position))
-    sock.sendall(encode(*lines))
+    return encode(*lines)
 
 
 def _answer_last(sock: socket.socket, reader: LineReader, session: Session, result: Result) -> None:
     """Send a final answer, and refuse the requests that were received behind it."""
-    _answer(sock, session, result)
+    sock.sendall(_encode_answer(session, result))
     while reader.has_input():
         line = reader.read()
         if line is None or not line.startswith('QUERY '):
             return
-        _answer(sock, session, session.refuse())
+        sock.sendall(_encode_answer(session, session.refuse()))
 
 
 def _format_error(result: Result) -> str:
--- a/godwitthread/platform/gateway_process.py
+++ b/godwitthread/platform/gateway_process.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
+import ctypes
 import logging
 import math
 import os
 import signal
+import socket
 import sys
 import time
 from functools import partial
@@ -18,6 +21,7 @@
 from godwitthread.errors import ProxyError
 from godwitthread.events import EventLog, HybridLogicalClock
 from godwitthread.gateway import link_server
+from godwitthread.gateway.caller_guard import LIMITS, CallerGuard
 from godwitthread.gateway.logs import Log
 from godwitthread.gateway.metrics import Metrics
 from godwitthread.gateway.node import Node
@@ -25,6 +29,7 @@
 from godwitthread.gateway.shutdown import open_calls, shut_down
 from godwitthread.loop import eventlet
 from godwitthread.platform import caller_connection, promotion, row_decoding
+from godwitthread.platform.bounded_listener import BoundedListener
 from godwitthread.platform.member_connection import open_connection
 from godwitthread.platform.settings import load
 from godwitthread.platform.store import StoreClient
@@ -42,6 +47,13 @@
 PROBES_UNTIL_OUT_OF_ROTATION = 2
 #: Delay after a failed `accept`, in ms.
 ACCEPT_RETRY_MS = 50
+#: Parameter of `mallopt`, and size from which blocks are mapped from the system one by one.
+M_MMAP_THRESHOLD = -3
+LARGE_BLOCK_BYTES = 128 * 1024
+#: Time limit for each read and write of an HTTP connection, and for the wait for its next request,
+#: in s. The platform probes more often than that.
+HTTP_TIMEOUT_S = 10
+HTTP_KEEPALIVE_S = 60
 #: Maximum number of events kept in memory; the process log contains all of them.
 MAX_EVENTS = 64
 
@@ -56,9 +68,20 @@
         return BAD_SETTINGS
     loop.patch()
     logging.basicConfig(level=logging.INFO, format='%(message)s', stream=sys.stdout)
+    _return_large_blocks()
     return GatewayProcess(settings).run()
 
 
+def _return_large_blocks() -> None:
+    """Let the allocator return the memory of long lines to the system as soon as they are freed.
+
+    By default, the threshold rises with the first large block that is freed, and later ones leave
+    holes in the heap: 29 MB of unfinished lines made the process 49 MB larger.
+    """
+    with contextlib.suppress(AttributeError, OSError):
+        ctypes.CDLL(None).mallopt(M_MMAP_THRESHOLD, LARGE_BLOCK_BYTES)
+
+
 class GatewayProcess:
     """Connect the gateway to the adapters of the platform and run it."""
 
@@ -85,7 +108,9 @@
             promote=partial(promotion.promote, settings.promotion_address),
         )
         metrics = Metrics()
-        self.node = Node(peer, self.clock, ports, self._log, metrics)
+        self.guard = CallerGuard(settings.limits, self.clock, self._log)
+        self.node = Node(peer, self.clock, ports, self._log, metrics, self.guard)
+        self._add_limit_metrics(metrics)
         metrics.gauge('godwitthread_sessions', 'Open sessions', lambda: len(self.node.sessions))
         metrics.gauge('godwitthread_owned_groups', 'Groups owned', self.node.owned_groups)
         metrics.gauge(
@@ -128,6 +153,7 @@
         self._serve_sockets(settings.peer_address, self._serve_peer)
         self._serve_http(settings.ready_address, self.answer_probe)
         self._serve_http(settings.metrics_address, self._metrics.application)
+        eventlet.spawn(self.guard.run, self.node.streams)
         self._log.event('instance_started', incarnation=node.peer.incarnation)
         node.start()
         self._serve_sockets(settings.caller_address, self._serve_caller)
@@ -149,6 +175,9 @@
 
     def _serve_peer(self, sock: Any) -> None:
         node = self.node
+        if not self._make_room_for_peer():
+            sock.close()
+            return
         link_server.serve(
             sock,
             self.clock,
@@ -161,10 +190,26 @@
 
     def _serve_caller(self, sock: Any) -> None:
         configure(sock)
-        caller_connection.serve(sock, self.node.sessions)
+        caller_connection.serve(sock, self.node.sessions, self.guard)
+
+    def _make_room_for_peer(self) -> bool:
+        """End the oldest connection without an identified sender if there are too many."""
+        limits, inbound = self._settings.limits, self.node.inbound
+        unidentified = [each for each in inbound if each.awaits_hello and not each.closed]
+        if len(unidentified) >= limits.unidentified_peers:
+            self.guard.note('peer_connections')
+            min(unidentified, key=lambda each: each.opened_ms).close()
+        if len(inbound) < limits.peer_connections:
+            return True
+        self.guard.note('peer_connections')
+        return False
 
     def _serve_sockets(self, address: Any, serve: Callable[[Any], None]) -> None:
         sock = listen(address)
+        # Accepted connections inherit the size of the buffer.
+        buffer_bytes = self._settings.limits.receive_buffer_bytes
+        if address != self._settings.peer_address:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
 
         def accept() -> None:
             while True:
@@ -175,12 +220,23 @@
                     eventlet.sleep(ACCEPT_RETRY_MS / 1000)
                     continue
                 eventlet.spawn_n(serve, conn)
+                # With a full backlog, `accept` never waits, so that nothing else would run.
+                eventlet.sleep(0)
 
         eventlet.spawn(accept)
 
     def _serve_http(self, address: Any, application: Any) -> None:
+        listener = BoundedListener(
+            listen(address), self._settings.limits.http_connections, self.guard.note
+        )
         eventlet.spawn(
-            eventlet.wsgi.server, listen(address), application, log_output=False, debug=False
+            eventlet.wsgi.server,
+            listener,
+            application,
+            log_output=False,
+            debug=False,
+            socket_timeout=HTTP_TIMEOUT_S,
+            keepalive=HTTP_KEEPALIVE_S,
         )
 
     def answer_probe(self, _environ: Any, start_response: Any) -> Iterable[bytes]:
@@ -191,6 +247,28 @@
         start_response('200 OK' if ready else '503 Service Unavailable', [('Content-Length', '0')])
         return [b'']
 
+    def _add_limit_metrics(self, metrics: Metrics) -> None:
+        guard = self.guard
+        metrics.gauge(
+            'godwitthread_caller_memory_bytes',
+            'Memory that callers cause',
+            lambda: guard.budget.used,
+        )
+        metrics.gauge(
+            'godwitthread_caller_memory_limit_bytes',
+            'Memory that callers may cause',
+            lambda: guard.budget.limit_bytes,
+        )
+        metrics.gauge(
+            'godwitthread_caller_connections', 'Connections of callers', lambda: guard.connections
+        )
+        metrics.gauges(
+            'godwitthread_limit_reached',
+            'Times that a limit on callers was reached',
+            'limit',
+            {name: partial(guard.reached.__getitem__, name) for name in LIMITS},
+        )
+
     def _evidence_age_s(self, table: str) -> float:
         age_ms = self.node.store_sync.evidence_age_ms(table)
         return math.nan if age_ms is None else age_ms / 1000
--- a/godwitthread/platform/line_protocol.py
+++ b/godwitthread/platform/line_protocol.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
-from collections import deque
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from godwitthread.core.statements import Statement, TxState, Verb
 from godwitthread.sockets import has_no_input, receive
 from godwitthread.types import Position
 
-#: Maximum length of a line, in bytes.
-MAX_LINE_BYTES = 1024 * 1024
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+#: Maximum length of a line, in bytes: a message of 1 MiB, with the command and the names before it.
+MAX_LINE_BYTES = (1024 + 16) * 1024
 #: Maximum number of bytes requested by one socket read.
 READ_BYTES = 16 * 1024
 #: Maximum number of digits; a number then fits in the integers of the messages between instances.
@@ -26,37 +28,75 @@
 
 
 class LineReader:
-    """Buffered reader that splits the input of a socket into lines."""
+    """Buffered reader that splits the input of a socket into lines, in linear time."""
 
     def __init__(self, sock: Any, limit: int = MAX_LINE_BYTES) -> None:
-        #: Maximum length of a line, in bytes.
+        #: Maximum length of a line without its end, in bytes.
         self.limit = limit
+        #: Called with the number of bytes received of a line whose end has not arrived.
+        self.on_partial: Callable[[int], None] | None = None
         self._sock = sock
-        #: Incomplete line at the end of the data received so far.
-        self._partial = b''
-        self._lines: deque[bytes] = deque()
+        #: Data received and not yet returned.
+        self._buffer = bytearray()
+        #: Number of bytes at the start of the buffer that contain no end of a line.
+        self._searched = 0
+        self._closed = False
+
+    @property
+    def has_more(self) -> bool:
+        """Return whether data behind the last line was received already."""
+        return bool(self._buffer)
+
+    def close(self) -> None:
+        """Free the data at once; `read` returns None from now on.
+
+        The references between the session and its connection form a cycle, so that the data would
+        otherwise stay until the next run of the garbage collector.
+        """
+        self.on_partial, self._closed = None, True
+        self._buffer.clear()
+        self._searched = 0
 
     def has_input(self) -> bool:
         """Return whether `read` has data to process, or the end of the stream."""
-        return bool(self._lines or self._partial) or not has_no_input(self._sock)
+        return bool(self._buffer) or not has_no_input(self._sock)
 
     def read(self) -> str | None:
         """Return the next line without its terminator, or None at the end of the stream."""
         while True:
-            if self._lines:
-                return self._lines.popleft().rstrip(b'\r').decode('latin-1')
+            end = self._buffer.find(b'\n', self._searched)
+            length = end if end >= 0 else len(self._buffer)
+            # The carriage return before the end does not count.
+            if length > self.limit + 1:
+                self._buffer.clear()
+                raise LineTooLongError
+            if end >= 0:
+                return self._take(end)
+            self._searched = len(self._buffer)
+            if self._buffer and self.on_partial is not None:
+                self.on_partial(len(self._buffer))
             data = receive(self._sock, READ_BYTES)
-            if not data:
+            if not data or self._closed:
                 return None
-            *lines, self._partial = (self._partial + data).split(b'\n')
-            self._lines.extend(lines)
-            if len(self._partial) > self.limit:
-                raise LineTooLongError
+            self._buffer += data
+
+    def _take(self, end: int) -> str:
+        buffer, length = self._buffer, end
+        if buffer.endswith(b'\r', 0, end):
+            length = end - 1
+            if buffer.endswith(b'\r', 0, length):
+                length = len(buffer[:length].rstrip(b'\r'))
+        # A view avoids a copy of a long line.
+        with memoryview(buffer) as view, view[:length] as text:
+            line = str(text, 'latin-1')
+        del buffer[: end + 1]
+        self._searched = 0
+        return line
 
 
 def encode(*lines: str) -> bytes:
     """Encode lines for the wire; latin-1 maps each character to one byte without loss."""
-    return ''.join(f'{line}\r\n' for line in lines).encode('latin-1')
+    return b'\r\n'.join([*(line.encode('latin-1') for line in lines), b''])
 
 
 def ready(state: TxState, position: Position | None = None) -> str:
--- a/godwitthread/platform/settings.py
+++ b/godwitthread/platform/settings.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import msgspec
 
 from godwitthread.address import Address, parse_address
+from godwitthread.core import caller_limits
+from godwitthread.core.caller_limits import CallerLimits
 from godwitthread.errors import ErrorKind, ProxyError
 
 if TYPE_CHECKING:
@@ -19,6 +22,9 @@
 MAX_CORES = 10_000
 MAX_LINK_MBPS = 10**7
 MAX_GRACE_S = 86_400
+#: Upper bounds of the memory of a process, in MB, and of its descriptors.
+MAX_MEMORY_MB = 10**7
+MAX_DESCRIPTORS = 10**7
 
 
 class NodeSettings(NamedTuple):
@@ -43,6 +49,8 @@
     link_mbps: float
     #: Grace period between SIGTERM and SIGKILL, in ms.
     grace_ms: int
+    #: Limits on what callers may make the process hold.
+    limits: CallerLimits = CallerLimits()
 
 
 def load(environ: Mapping[str, str]) -> NodeSettings:
@@ -53,10 +61,10 @@
     except (OSError, ValueError, RecursionError) as exc:
         error = ProxyError(ErrorKind.SETTING_INVALID, f'{CONFIG_PATH_VARIABLE} {path!r}: {exc}')
         raise ExceptionGroup('invalid settings', [error]) from exc
-    return parse(data)
+    return parse(data, environ)
 
 
-def parse(data: Any) -> NodeSettings:
+def parse(data: Any, environ: Mapping[str, str] | None = None) -> NodeSettings:
     """Validate decoded settings; raise an ExceptionGroup with every error."""
     errors: list[ProxyError] = []
 
@@ -71,6 +79,20 @@
             errors.append(ProxyError(ErrorKind.SETTING_INVALID, message))
             return None
 
+    def read_limits() -> CallerLimits:
+        given = data.get('Limits') if isinstance(data, dict) else None
+        values = [
+            read_value(f'Limits.{name}', partial(_number, maximum=maximum))
+            if isinstance(given, dict) and name in given
+            else None
+            for name, maximum in (('MemoryMb', MAX_MEMORY_MB), ('MaxFds', MAX_DESCRIPTORS))
+        ]
+        try:
+            return caller_limits.override(caller_limits.derive(*values), environ or {})
+        except ValueError as exc:
+            errors.append(ProxyError(ErrorKind.SETTING_INVALID, str(exc)))
+            return CallerLimits()
+
     ip = read_value('Ip', _ip)
     settings = NodeSettings(
         name=read_value('Node', _non_empty_string),
@@ -84,6 +106,7 @@
         cores=read_value('Limits', _cores),
         link_mbps=read_value('Limits.LinkMbps', lambda value: _number(value, MAX_LINK_MBPS)),
         grace_ms=read_value('Bounds.GraceS', lambda value: int(_number(value, MAX_GRACE_S) * 1000)),
+        limits=read_limits(),
     )
     if errors:
         raise ExceptionGroup('invalid settings', errors)
--- a/godwitthread/sockets.py
+++ b/godwitthread/sockets.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import contextlib
+import fcntl
 import select
 import socket
+import struct
+import termios
 from typing import TYPE_CHECKING
 
 from eventlet import patcher
@@ -83,6 +86,15 @@
     return bool(poller.poll(0))
 
 
+def unread_bytes(sock: socket.socket) -> int:
+    """Return the number of bytes that were received on a connection and not read."""
+    try:
+        (size,) = struct.unpack('i', fcntl.ioctl(sock.fileno(), termios.FIONREAD, b'\0' * 4))
+    except (OSError, ValueError):
+        return 0
+    return int(size)
+
+
 def receive(sock: socket.socket, size: int) -> bytes:
     """Receive up to `size` bytes, none at the end of the connection; raise OSError on failure.
 
--- a/tests/test_platform/test_bad_input.py
+++ b/tests/test_platform/test_bad_input.py
@@ -8,7 +8,8 @@
 import pytest
 
 from godwitthread.clock import Clock
-from godwitthread.core.statements import Result
+from godwitthread.core.statements import Result, failure
+from godwitthread.errors import ErrorKind
 from godwitthread.gateway.sessions import Sessions
 from godwitthread.platform import caller_connection
 from godwitthread.platform.line_protocol import MAX_LINE_BYTES
@@ -119,3 +120,50 @@
     assert b'receipt' in receive_all(caller(START + b'QUERY 2 READ a\r\n'))
     slow.sendall(b'AD a\r\n')
     assert b'receipt' in receive_all(slow)
+
+
+def test_statements_sent_ahead_do_not_stop_the_loop(sessions):
+    """Guard against a caller whose next line is always ready, so that nothing else runs."""
+    lines = [b'START orders-db k1\r\n', *[b'QUERY 1 SET a b\r\n'] * 300]
+    sock, turns = Endless(b''.join(lines)), []
+
+    def count():
+        while not sock.ended:
+            turns.append(1)
+            eventlet.sleep(0)
+
+    eventlet.spawn(count)
+    caller_connection.serve(sock, sessions)
+    assert len(turns) > 200
+
+
+class Endless:
+    """Fake socket whose data is always ready, and whose answers are taken at once."""
+
+    def __init__(self, data: bytes) -> None:
+        self._data = data
+        self.ended = False
+
+    def recv(self, size: int) -> bytes:
+        data, self._data = self._data[:size], self._data[size:]
+        return data
+
+    def sendall(self, data: bytes) -> None:
+        pass
+
+    def close(self) -> None:
+        self.ended = True
+
+
+def test_large_ids_are_not_kept_in_the_log(sessions, caller, monkeypatch):
+    """Guard against events in memory that hold the text of callers."""
+    logged = []
+    monkeypatch.setattr(sessions.log, 'failure', lambda name, **fields: logged.append(fields))
+    monkeypatch.setattr(
+        sessions,
+        'run',
+        lambda req, holder: (failure(ErrorKind.OVERLOADED, 'busy'), None),
+    )
+    sock = caller(START + b'QUERY ' + b'i' * 100_000 + b' READ a\r\n')
+    assert b'ERR BUSY' in receive_all(sock)
+    assert len(logged[0]['request']) < 1_000
--- a/tests/test_platform/test_line_protocol.py
+++ b/tests/test_platform/test_line_protocol.py
@@ -84,3 +84,55 @@
     assert line_protocol.parse_position('x.1') is None
     assert line_protocol.ready(TxState.OPEN, Position(3, 9)) == 'READY T 3.9'
     assert line_protocol.ready(TxState.FAILED) == 'READY E -'
+
+
+#: Pieces of statements, valid and not, and of lines that are too long for the reader below.
+PIECES = [
+    b'QUERY 1 READ a', b'QUERY 2 WRITE a b c', b'QUERY 3 SET lang nb', b'QUERY 4 PREPARE s READ q',
+    b'BYE', b'\r', b'\n', b'\r\n', b' ', b'', b'\xff\x00', b'x' * 40,
+]  # fmt: skip
+
+
+def outcome(chunks: list[bytes]) -> list[object]:
+    """Return the statements that the reader and the parser make of received chunks."""
+    reader = line_protocol.LineReader(ChunkedSocket(chunks), 64)
+    found: list[object] = []
+    try:
+        while (line := reader.read()) is not None:
+            command, _, rest = line.partition(' ')
+            found.append((line, line_protocol.parse_query(rest) if command == 'QUERY' else None))
+    except line_protocol.LineTooLongError:
+        found.append('too long')
+    return found
+
+
+@given(st.lists(st.sampled_from(PIECES) | st.binary(max_size=30), max_size=25), st.data())
+def test_any_split_of_the_same_bytes_gives_the_same_statements(pieces, data):
+    """Guard against statements that depend on how the network divides them."""
+    stream = b''.join(pieces)
+    cuts = sorted(data.draw(st.lists(st.integers(0, len(stream)), max_size=20)))
+    chunks = [stream[a:b] for a, b in zip([0, *cuts], [*cuts, len(stream)], strict=True)]
+    expected = outcome([stream])
+    assert outcome([each for each in chunks if each]) == expected
+    assert outcome([bytes([byte]) for byte in stream]) == expected
+
+
+def test_a_long_line_is_searched_once(monkeypatch):
+    """Guard against work that grows with the square of a line's length."""
+    searched = []
+
+    class Buffer(bytearray):
+        def find(self, sub, start=0):
+            searched.append(len(self) - start)
+            return super().find(sub, start)
+
+    monkeypatch.setattr(line_protocol, 'bytearray', Buffer, raising=False)
+    line_protocol.LineReader(ChunkedSocket([b'x'] * 5_000)).read()
+    assert sum(searched) == 5_000
+
+
+def test_the_longest_message_is_read():
+    """Guard against refusing a message of 1 MiB with its command and names."""
+    line = b'QUERY 1 WRITE item ' + b'x' * 1024 * 1024
+    reader = line_protocol.LineReader(ChunkedSocket([line + b'\r\n']))
+    assert len(reader.read() or '') == len(line)
--- a/tests/test_platform/test_settings.py
+++ b/tests/test_platform/test_settings.py
@@ -10,6 +10,7 @@
 import pytest
 
 from godwitthread.address import Address
+from godwitthread.core.caller_limits import CallerLimits, derive
 from godwitthread.errors import ErrorKind
 from godwitthread.platform import settings
 from tests import malformed
@@ -34,6 +35,20 @@
     assert (loaded.cores, loaded.link_mbps, loaded.grace_ms) == (1.0, 10.0, 6_000)
 
 
+def test_limits_of_memory_and_descriptors_may_be_absent_or_wrong():
+    """Guard against a start that fails without the limits, or accepts limits that are none."""
+    assert settings.parse(NODE).limits == CallerLimits()
+    limits = NODE['Limits'] | {'MemoryMb': 200, 'MaxFds': 4_300}
+    assert settings.parse(NODE | {'Limits': limits}).limits == derive(200, 4_300)
+    with pytest.raises(ExceptionGroup) as info:
+        settings.parse(
+            NODE | {'Limits': limits | {'MemoryMb': 'x', 'MaxFds': -1}},
+            {'GODWITTHREAD_LINE_TIMEOUT_MS': 'soon'},
+        )
+    messages = [str(exc).split(':')[0] for exc in info.value.exceptions]
+    assert messages == ['Limits.MemoryMb', 'Limits.MaxFds', 'GODWITTHREAD_LINE_TIMEOUT_MS']
+
+
 def test_all_errors_are_reported_at_once():
     """Guard against a start that reports only the first of several invalid settings."""
     changed = NODE | {'Node': '', 'platform': {'Addr': 'store'}, 'Bounds': {}}
