--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -14,6 +14,7 @@
 )
 from godwitthread.gateway import link_server, links, usage_collector
 from godwitthread.gateway.authority_manager import AuthorityManager, ClaimRequest
+from godwitthread.gateway.caller_guard import refusal_for_memory
 from godwitthread.gateway.crossings import Crossings
 from godwitthread.gateway.duty_router import DutyRouter
 from godwitthread.gateway.frames import FrameStream, HeartbeatStatus, Hello
@@ -44,6 +45,7 @@
 
     from godwitthread.clock import Clock
     from godwitthread.core.catalog import Configuration, Group, Organisation, Peer
+    from godwitthread.gateway.caller_guard import CallerGuard
     from godwitthread.gateway.logs import Log
     from godwitthread.gateway.metrics import Metrics
     from godwitthread.gateway.ports import Ports
@@ -64,6 +66,7 @@
         log: Log,
         metrics: Metrics,
         options: Options = Options(),  # noqa: B008 - immutable
+        guard: CallerGuard | None = None,
     ) -> None:
         self.peer = peer
         self.clock = clock
@@ -75,6 +78,7 @@
         self.inbound: set[FrameStream] = set()
         #: Number of statements of peers that run at this instance.
         self.peer_statements = 0
+        self._guard = guard
         self._ports = ports
         self._minority_since_ms = 0
         self.view = StoreView(ports.schema, clock, log, self._on_store_change)
@@ -158,7 +162,7 @@
             self._retry_spacing_ms,
         )
         self.sessions = Sessions(
-            clock, lambda: self.view.configuration, self.router.run, log, metrics.observe
+            clock, lambda: self.view.configuration, self.router.run, log, metrics.observe, guard
         )
         self.calls = self._call_handlers()
         self._threads: list[Any] = []
@@ -224,6 +228,10 @@
         """Return the status that peers receive with each heartbeat."""
         return HeartbeatStatus(self.leaving, self.start_gate.ready, self.duty.token)
 
+    def streams(self) -> list[FrameStream]:
+        """Return the streams of all peers, in both directions."""
+        return [*self.inbound, *(each.stream for each in self._links.values() if each.stream)]
+
     def owned_groups(self) -> int:
         """Return the number of groups that this instance owns."""
         return len(self.ownership_manager.owned)
@@ -236,10 +244,6 @@
         """Return the number of members that accept fewer connections than configured."""
         return sum(len(each.limited) for each in self.runners.values())
 
-    def waiting_statements(self) -> int:
-        """Return the number of statements that wait for a slot of a member or a connection."""
-        return sum(len(each.dispatcher) for each in self.runners.values())
-
     # Calls of peers
 
     def handle(self, sender: str, kind: str, body: msgspec.Raw) -> Any:
@@ -260,11 +264,17 @@
         return calls
 
     def _run_for_peer(self, sender: str, req: RunRequest) -> Result:
+        reserved = self._guard.reserve(req) if self._guard else 0
+        if reserved is None:
+            # The entry instance passes on more than this instance can hold.
+            return refusal_for_memory(req)
         self.peer_statements += 1
         try:
             return self.router.run_here(sender, req)
         finally:
             self.peer_statements -= 1
+            if reserved and self._guard:
+                self._guard.budget.add(-reserved)
 
     def peer_ended(self, sender: str) -> None:
         """Roll back the open transactions of a peer whose connection ended."""
--- a/godwitthread/platform/settings.py
+++ b/godwitthread/platform/settings.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import msgspec
 
 from godwitthread.address import Address, parse_address
+from godwitthread.core import caller_limits
+from godwitthread.core.caller_limits import CallerLimits
 from godwitthread.core.rate_grants import RateTolerance
 from godwitthread.core.usage_windows import UsageTerms
 from godwitthread.errors import ErrorKind, ProxyError
@@ -37,6 +40,9 @@
 #: Delay and tolerance of usage reports where the settings give none.
 DEFAULT_USAGE_DELAY_S = 10.0
 DEFAULT_USAGE_TOLERANCE = 0.05
+#: Upper bounds of the memory of a process, in MB, and of its descriptors.
+MAX_MEMORY_MB = 10**7
+MAX_DESCRIPTORS = 10**7
 
 
 class NodeSettings(NamedTuple):
@@ -73,6 +79,8 @@
     #: Time that a crossing between failure domains must save, in ms; None if failure domains are
     #: not considered.
     crossing_cost_ms: float | None = None
+    #: Limits on what callers may make the process hold.
+    limits: CallerLimits = CallerLimits()
 
 
 def load(environ: Mapping[str, str]) -> NodeSettings:
@@ -83,7 +91,7 @@
     except (OSError, ValueError, RecursionError) as exc:
         error = ProxyError(ErrorKind.SETTING_INVALID, f'{CONFIG_PATH_VARIABLE} {path!r}: {exc}')
         raise ExceptionGroup('invalid settings', [error]) from exc
-    return parse(data)._replace(crossing_cost_ms=_crossing_cost_ms(environ))
+    return parse(data, environ)._replace(crossing_cost_ms=_crossing_cost_ms(environ))
 
 
 def _crossing_cost_ms(environ: Mapping[str, str]) -> float | None:
@@ -100,62 +108,91 @@
     return cost_ms
 
 
-def parse(data: Any) -> NodeSettings:
+def parse(data: Any, environ: Mapping[str, str] | None = None) -> NodeSettings:
     """Validate decoded settings; raise an ExceptionGroup with every error."""
-    errors: list[ProxyError] = []
+    reader = SettingsReader(data)
+    read, read_optional = reader.read, reader.read_optional
+    ip = read('Ip', _ip)
+    settings = NodeSettings(
+        name=read('Node', _non_empty_string),
+        failure_domain=read('Zone', _non_empty_string),
+        caller_address=read('Listen.Front', parse_address),
+        ready_address=read('Listen.Ready', parse_address),
+        peer_address=Address(ip, read('InternalPortRange.0', _port)),
+        metrics_address=Address(ip, read('InternalPortRange.1', _port)),
+        store_address=read('platform.Addr', parse_address),
+        promotion_address=read('Cloud.Addr', parse_address),
+        cores=read('Limits', _cores),
+        link_mbps=read('Limits.LinkMbps', lambda value: _number(value, MAX_LINK_MBPS)),
+        grace_ms=read('Bounds.GraceS', lambda value: int(_number(value, MAX_GRACE_S) * 1000)),
+        rate_tolerance=read('Bounds', _rate_tolerance),
+        lease_ms=read_optional(
+            'Bounds.LeaseMs', lambda value: int(_number(value, MAX_LEASE_MS)), 0
+        ),
+        require_fence=read_optional('Bounds.RequireFence', _flag, False),
+        usage=_read_usage(reader),
+        limits=_read_limits(reader, environ or {}),
+    )
+    if reader.errors:
+        raise ExceptionGroup('invalid settings', reader.errors)
+    return settings
 
-    def read_value(path: str, convert: Callable[[Any], Any]) -> Any:
-        value = data
+
+class SettingsReader:
+    """Read values of decoded settings, and collect the errors."""
+
+    def __init__(self, data: Any) -> None:
+        self.data = data
+        self.errors: list[ProxyError] = []
+
+    def read(self, path: str, convert: Callable[[Any], Any]) -> Any:
+        """Return a converted value, None after an error."""
+        value = self.data
         try:
             for part in path.split('.'):
                 value = value[int(part) if part.isdecimal() else part]
             return convert(value)
         except (LookupError, TypeError, ValueError, AttributeError, OverflowError) as exc:
-            message = f'{path}: {type(exc).__name__}: {exc}'
-            errors.append(ProxyError(ErrorKind.SETTING_INVALID, message))
+            self.add_error(f'{path}: {type(exc).__name__}: {exc}')
             return None
 
-    def read_optional(path: str, convert: Callable[[Any], Any], default: Any) -> Any:
-        value = data
+    def read_optional(self, path: str, convert: Callable[[Any], Any], default: Any) -> Any:
+        """Return a converted value, or the default if there is none."""
+        value = self.data
         for part in path.split('.'):
             value = value.get(part) if isinstance(value, dict) else None
         # The platform writes 0 or null for a bound that does not apply.
-        return default if value is None or value == 0 else read_value(path, convert)
-
-    def read_usage() -> UsageTerms | None:
-        duties = read_optional('Cloud.Duties', _names, ())
-        window_ms = read_optional('Bounds.ReportWindowS', _report_ms, 0)
-        delay_ms = read_optional(
-            'Bounds.UsageDelayS', _report_ms, int(DEFAULT_USAGE_DELAY_S * 1000)
-        )
-        tolerance = read_optional('Bounds.UsageOff', _share, DEFAULT_USAGE_TOLERANCE)
-        if duties is None or USAGE_DUTY not in duties or not window_ms:
-            return None
-        return UsageTerms(window_ms, delay_ms, tolerance)
+        return default if value is None or value == 0 else self.read(path, convert)
 
-    ip = read_value('Ip', _ip)
-    settings = NodeSettings(
-        name=read_value('Node', _non_empty_string),
-        failure_domain=read_value('Zone', _non_empty_string),
-        caller_address=read_value('Listen.Front', parse_address),
-        ready_address=read_value('Listen.Ready', parse_address),
-        peer_address=Address(ip, read_value('InternalPortRange.0', _port)),
-        metrics_address=Address(ip, read_value('InternalPortRange.1', _port)),
-        store_address=read_value('platform.Addr', parse_address),
-        promotion_address=read_value('Cloud.Addr', parse_address),
-        cores=read_value('Limits', _cores),
-        link_mbps=read_value('Limits.LinkMbps', lambda value: _number(value, MAX_LINK_MBPS)),
-        grace_ms=read_value('Bounds.GraceS', lambda value: int(_number(value, MAX_GRACE_S) * 1000)),
-        rate_tolerance=read_value('Bounds', _rate_tolerance),
-        lease_ms=read_optional(
-            'Bounds.LeaseMs', lambda value: int(_number(value, MAX_LEASE_MS)), 0
-        ),
-        require_fence=read_optional('Bounds.RequireFence', _flag, False),
-        usage=read_usage(),
-    )
-    if errors:
-        raise ExceptionGroup('invalid settings', errors)
-    return settings
+    def add_error(self, message: str) -> None:
+        """Record that a setting is invalid."""
+        self.errors.append(ProxyError(ErrorKind.SETTING_INVALID, message))
+
+
+def _read_usage(reader: SettingsReader) -> UsageTerms | None:
+    read = reader.read_optional
+    duties = read('Cloud.Duties', _names, ())
+    window_ms = read('Bounds.ReportWindowS', _report_ms, 0)
+    delay_ms = read('Bounds.UsageDelayS', _report_ms, int(DEFAULT_USAGE_DELAY_S * 1000))
+    tolerance = read('Bounds.UsageOff', _share, DEFAULT_USAGE_TOLERANCE)
+    if duties is None or USAGE_DUTY not in duties or not window_ms:
+        return None
+    return UsageTerms(window_ms, delay_ms, tolerance)
+
+
+def _read_limits(reader: SettingsReader, environ: Mapping[str, str]) -> CallerLimits:
+    given = reader.data.get('Limits') if isinstance(reader.data, dict) else None
+    values = [
+        reader.read(f'Limits.{name}', partial(_number, maximum=maximum))
+        if isinstance(given, dict) and name in given
+        else None
+        for name, maximum in (('MemoryMb', MAX_MEMORY_MB), ('MaxFds', MAX_DESCRIPTORS))
+    ]
+    try:
+        return caller_limits.override(caller_limits.derive(*values), environ)
+    except ValueError as exc:
+        reader.add_error(str(exc))
+        return CallerLimits()
 
 
 def _names(value: Any) -> tuple[str, ...]:
