Accept statements behind a short queue without an exact estimate

Change: a queue that a tenth of the slots would run within half of the time to the objective needs no estimate.

--- a/godwitthread/core/scheduling/dispatch.py
+++ b/godwitthread/core/scheduling/dispatch.py
@@ -119,9 +119,13 @@
             return None
         in_time_ms = work.objective_ms - min(member.service_ms for member in able) - now_ms
         free = self._has_free_slot(now_ms, lane, able)
-        if free and in_time_ms >= 0:
-            # A slot that is free now starts the statement, whatever is expected.
-            self._add_due(now_ms, lane, work, able[0].slot_ms(work.kind))
+        slot_ms = able[0].slot_ms(work.kind)
+        least_slots = admission.MIN_NEW_SHARE * sum([member.slots for member in able])
+        short = not self._sharing and lane.due * slot_ms / least_slots < SHARING_WAIT * in_time_ms
+        if (free and in_time_ms >= 0) or short:
+            # A slot that is free now starts the statement, whatever is expected; and a short queue
+            # needs no exact estimate.
+            self._add_due(now_ms, lane, work, slot_ms)
             return None
         backlog = self._backlog(now_ms, work, lane, able)
         wait_ms = admission.wait_ms(backlog, self._sharing)
