--- a/godwitthread/core/scheduling/dispatch.py
+++ b/godwitthread/core/scheduling/dispatch.py
@@ -139,9 +139,13 @@
             return None
         in_time_ms = work.objective_ms - min(member.service_ms for member in able) - now_ms
         free = self._has_free_slot(now_ms, lane, able)
-        if free and in_time_ms >= 0:
-            # A slot that is free now starts the statement, whatever is expected.
-            self._add_due(now_ms, lane, work, able[0].slot_ms(work.kind))
+        slot_ms = able[0].slot_ms(work.kind)
+        least_slots = admission.MIN_NEW_SHARE * sum([member.slots for member in able])
+        short = not self._sharing and lane.due * slot_ms / least_slots < SHARING_WAIT * in_time_ms
+        if (free and in_time_ms >= 0) or short:
+            # A slot that is free now starts the statement, whatever is expected; and a short queue
+            # needs no exact estimate.
+            self._add_due(now_ms, lane, work, slot_ms)
             return None
         backlog = self._backlog(now_ms, work, lane, able)
         wait_ms = admission.wait_ms(backlog, self._sharing)
@@ -273,12 +277,11 @@
         return member.id == self.primary or member.has_applied(now_ms, work)
 
     def _return_ms(self, now_ms: int, work: WorkItem) -> int | None:
-        """Return when the pause of the last member for a statement ends, None if unknown."""
+        """Return when the pause of the last member for a read ends, None if unknown."""
         if work.primary:
-            member = self.members.get(self.primary or '')
-            members = [member] if member is not None else []
-        else:
-            members = [each for each in self.members.values() if each.id not in work.avoid]
+            # A primary that pauses after failures may be replaced at any time.
+            return None
+        members = [each for each in self.members.values() if each.id not in work.avoid]
         if not all(each.usable and each.paused_until_ms > now_ms for each in members):
             return None
         return min((each.paused_until_ms for each in members), default=None)
@@ -335,8 +338,7 @@
     ) -> Rejection | None:
         """Queue a statement that cannot meet its objective behind the others, or reject it."""
         latest_ms = self.latest_start_ms(work)
-        needed = self._demand[id(lane)].slots(now_ms)
-        slots = admission.late_slots(backlog.slots, needed)
+        slots = admission.late_slots(backlog.slots, self._demand[id(lane)].slots(now_ms))
         due_ms = lane.due * backlog.slot_ms / backlog.slots
         late_ms = due_ms + (lane.late + 1) * backlog.slot_ms / slots
         own_ms = lane.late_of(work.organisation) * max(1, lane.late_organisations)
@@ -345,7 +347,7 @@
             lane.add_late(work, latest_ms)
             return None
         # Room comes once the statements ahead have run, unless new ones take it.
-        spacing_ms = backlog.slot_ms / admission.retry_slots(backlog.slots, needed)
+        spacing_ms = backlog.slot_ms / backlog.slots
         room_ms = max(1.0, (lane.due + lane.late) * spacing_ms)
         delay_ms = self.retry_delays.reserve(now_ms, room_ms, spacing_ms, latest_ms - now_ms)
         return Rejection(work, delay_ms)
