Refuse small statements of peers only while answers pile up

Cause: an owner over its budget refused every new statement of peers, though its own callers caused it. A caller that sends single bytes could keep a connection that waits for its end. A session with more than 4 KiB of state could have its COMMIT refused.

Change: small statements of peers are refused only while links hold more than half of the budget; the wait at the end of a connection has one time limit; COMMIT, ROLLBACK and DEALLOC are never refused for memory.

--- a/godwitthread/core/memory_budget.py
+++ b/godwitthread/core/memory_budget.py
@@ -112,6 +112,11 @@
         self.used += size - self._links
         self._links = size
 
+    @property
+    def links_are_full(self) -> bool:
+        """Return whether links use more than half of the limit."""
+        return self._links > self.limit_bytes // 2
+
     def has_room(self, size: int) -> bool:
         """Return whether as many bytes more fit in the limit."""
         return self.used + size <= self.limit_bytes
--- a/godwitthread/gateway/caller_guard.py
+++ b/godwitthread/gateway/caller_guard.py
@@ -136,15 +136,16 @@
     def reserve(self, req: RunRequest) -> int | None:
         """Count the memory of a peer's statement; return it, or None if there is no room.
 
-        The end of a transaction is never refused: it frees a connection to a member.
+        The end of a transaction is never refused: it frees a connection to a member. A small
+        statement is refused only if it begins an operation while answers pile up on the links.
         """
-        size = len(req.text) + sum(len(value) for _, value in req.values)
-        if size <= SMALL_BYTES and not self.budget.is_over:
-            return 0
         if req.action in (Action.COMMIT, Action.ROLLBACK):
             return 0
+        size = len(req.text) + sum(len(value) for _, value in req.values)
+        if size <= SMALL_BYTES and not (req.first and self.budget.links_are_full):
+            return 0
         needed = size * STATEMENT_COPIES
-        if not self.budget.reserve(needed):
+        if self.budget.links_are_full or not self.budget.reserve(needed):
             self.note('frame_memory')
             return None
         return needed
--- a/godwitthread/platform/caller_connection.py
+++ b/godwitthread/platform/caller_connection.py
@@ -10,7 +10,7 @@
 
 from godwitthread.core.caller_limits import CallerLimits
 from godwitthread.core.memory_budget import CONNECTION_BYTES, SMALL_BYTES, Activity
-from godwitthread.core.statements import TxState
+from godwitthread.core.statements import TxState, Verb
 from godwitthread.errors import ErrorKind
 from godwitthread.gateway.caller_guard import LINGER_BYTES, LINGER_S, CallerGuard
 from godwitthread.gateway.session import CallerPort
@@ -40,6 +40,9 @@
 #: With the limit of later lines, thousands of unauthenticated callers could exhaust the memory.
 MAX_START_LINE_BYTES = 4_096
 
+#: Statements that free what they refer to, and are never refused for memory.
+ENDING_VERBS = (Verb.COMMIT, Verb.ROLLBACK, Verb.DEALLOCATE)
+
 #: Wire code of each error kind. BUSY, ABORTED, LAGGING, READONLY and TOOMANY guarantee that
 #: the attempt had no effect, so they are used only for kinds with the outcome `not_run`.
 ERROR_CODES: dict[ErrorKind, str] = {
@@ -169,7 +172,8 @@
                 return
 
     def _run(self, session: Session, statement: Statement | None, size: int) -> Result:
-        if not self._guard.admit(self._account, size):
+        ends = statement is not None and statement.verb in ENDING_VERBS
+        if not ends and not self._guard.admit(self._account, size):
             return session.shed()
         return session.malformed() if statement is None else session.run(statement)
 
@@ -188,7 +192,7 @@
         guard.enter(account, Activity.ANSWERING)
         state = session.state_bytes
         costly = len(data) > SMALL_BYTES or state != account.costs.state
-        if costly or account.total > CONNECTION_BYTES:
+        if costly or account.total != CONNECTION_BYTES + state:
             answer = len(data) if len(data) > SMALL_BYTES else 0
             guard.charge(account, line=0, statement=0, answer=answer, unread=0, state=state)
         # Without a memory view, each further send would copy the rest.
@@ -204,10 +208,10 @@
         self._guard.close(self._account)
         with contextlib.suppress(OSError):
             self._sock.shutdown(SHUT_WR)
-            self._sock.settimeout(LINGER_S)
             left = LINGER_BYTES
-            while left > 0 and (data := receive(self._sock, READ_BYTES)):
-                left -= len(data)
+            with eventlet.Timeout(LINGER_S, False):
+                while left > 0 and (data := receive(self._sock, READ_BYTES)):
+                    left -= len(data)
 
 
 def _encode_answer(session: Session, result: Result) -> bytes:
--- a/tests/test_misbehaving/test_limits.py
+++ b/tests/test_misbehaving/test_limits.py
@@ -211,6 +211,17 @@
     assert guard.budget.used == 0
 
 
+def test_an_owner_whose_links_are_full_begins_no_operations():
+    """Guard against answers that pile up for an entry instance which does not take them."""
+    guard = Guarded().guard
+    request = RunRequest(Action.SINGLE, 1, 'g', 'o', 'id', text='READ a', first=True)
+    guard.budget.set_links(MIB // 2 + 1)
+    assert guard.reserve(request) is None
+    assert guard.reserve(request._replace(first=False)) == 0
+    guard.budget.set_links(0)
+    assert guard.reserve(request) == 0
+
+
 def sessions(**limits):
     guarded, cfg = Guarded(**limits), configuration()
     made = Sessions(
--- a/tests/test_platform/test_bad_input.py
+++ b/tests/test_platform/test_bad_input.py
@@ -8,8 +8,10 @@
 import pytest
 
 from godwitthread.clock import Clock
+from godwitthread.core.caller_limits import CallerLimits
 from godwitthread.core.statements import Result, failure
 from godwitthread.errors import ErrorKind
+from godwitthread.gateway.caller_guard import CallerGuard
 from godwitthread.gateway.sessions import Sessions
 from godwitthread.platform import caller_connection
 from godwitthread.platform.line_protocol import MAX_LINE_BYTES
@@ -167,3 +169,32 @@
     sock = caller(START + b'QUERY ' + b'i' * 100_000 + b' READ a\r\n')
     assert b'ERR BUSY' in receive_all(sock)
     assert len(logged[0]['request']) < 1_000
+
+
+def test_a_caller_that_sends_ahead_gets_its_answer_before_the_end(sessions, monkeypatch):
+    """Guard against an answer that the caller's system discards, since unread data was left."""
+    guard = CallerGuard(CallerLimits(memory_bytes=1), sessions.clock, sessions.log)
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        near = socket.create_connection(listener.getsockname())
+        far, _ = listener.accept()
+    near.settimeout(5)
+
+    def run(req, holder):
+        near.sendall(b'QUERY 2 READ b\r\n' * 5_000)
+        (account,) = guard.budget.accounts
+        guard.charge(account, unread=2_000_000)
+        assert account.last
+        return Result(('y' * 100_000,), 'receipt'), 'owner'
+
+    monkeypatch.setattr(sessions, 'run', run)
+    thread = eventlet.spawn(caller_connection.serve, far, sessions, guard)
+    near.sendall(START + b'QUERY 1 READ a\r\n')
+    data = b''
+    while piece := near.recv(65_536):
+        data += piece
+    near.close()
+    thread.wait()
+    assert data.count(b'READY') == 2
+    assert b'y' * 100_000 in data
+    assert guard.budget.used == 0
+    assert guard.connections == len(sessions) == 0
