Serve a page of metrics again for 250 ms

Cause: each scrape makes the page anew, so that a crowd of complete requests to the metrics port keeps the loop busy.

Change: one page for each 250 ms.

--- a/godwitthread/platform/gateway_process.py
+++ b/godwitthread/platform/gateway_process.py
@@ -50,6 +50,8 @@
 #: Parameter of `mallopt`, and size from which blocks are mapped from the system one by one.
 M_MMAP_THRESHOLD = -3
 LARGE_BLOCK_BYTES = 128 * 1024
+#: Time for which a page of the metrics is served again, in ms.
+METRICS_PAGE_MS = 250
 #: Time limit for each read and write of an HTTP connection, and for the wait for its next request,
 #: in s. The platform probes more often than that.
 HTTP_TIMEOUT_S = 10
@@ -141,6 +143,9 @@
             {table: partial(_not_in_force_s, view, table) for table in tables},
         )
         self._metrics = metrics
+        #: Newest page of the metrics, and the time at which it was made.
+        self._page: list[bytes] | None = None
+        self._page_ms = 0
         self._stop_requested = eventlet.event.Event()
         #: Number of failed readiness probes since the request to stop.
         self._failed_probes = 0
@@ -152,7 +157,7 @@
         signal.signal(signal.SIGHUP, self._on_sighup)
         self._serve_sockets(settings.peer_address, self._serve_peer)
         self._serve_http(settings.ready_address, self.answer_probe)
-        self._serve_http(settings.metrics_address, self._metrics.application)
+        self._serve_http(settings.metrics_address, self.answer_scrape)
         eventlet.spawn(self.guard.run, self.node.streams)
         self._log.event('instance_started', incarnation=node.peer.incarnation)
         node.start()
@@ -247,6 +252,15 @@
         start_response('200 OK' if ready else '503 Service Unavailable', [('Content-Length', '0')])
         return [b'']
 
+    def answer_scrape(self, environ: Any, start_response: Any) -> Iterable[bytes]:
+        """Answer a scrape of the metrics (WSGI application); a page is served again for a while."""
+        now_ms = self.clock.now_ms()
+        if self._page is None or now_ms - self._page_ms >= METRICS_PAGE_MS:
+            self._page = list(self._metrics.application(environ, lambda *_: None))
+            self._page_ms = now_ms
+        start_response('200 OK', [('Content-Type', 'text/plain; version=0.0.4')])
+        return self._page
+
     def _add_limit_metrics(self, metrics: Metrics) -> None:
         guard = self.guard
         metrics.gauge(
--- a/tests/test_misbehaving/test_limits.py
+++ b/tests/test_misbehaving/test_limits.py
@@ -25,9 +25,12 @@
 from godwitthread.gateway.caller_guard import SWEEP_MS, CallerGuard
 from godwitthread.gateway.frames import MAX_HELLO_BYTES, FrameStream
 from godwitthread.gateway.sessions import Sessions
+from godwitthread.platform import settings
 from godwitthread.platform.bounded_listener import BoundedListener
+from godwitthread.platform.gateway_process import GatewayProcess
 from godwitthread.sockets import has_no_input, listen
 from tests.test_gateway.fakes import configuration, quiet_log
+from tests.test_platform.test_settings import NODE
 
 ACTIVITIES = [Activity.STARTING, Activity.LINE, Activity.RUNNING, Activity.ANSWERING]
 
@@ -275,6 +278,19 @@
         sock.close()
 
 
+def test_a_crowd_that_scrapes_costs_one_page(monkeypatch):
+    """Guard against a loop that is kept busy by making the same page of metrics."""
+    process, time_s, pages = GatewayProcess(settings.parse(NODE)), [1.0], []
+    process.clock = Clock(lambda: time_s[0])
+    monkeypatch.setattr(
+        process._metrics, 'application', lambda *_: [pages.append(1) or bytes([len(pages)])]
+    )
+    answers = [process.answer_scrape({}, lambda *_: None) for _ in range(5)]
+    time_s[0] += 0.25
+    assert answers == [[b'\x01']] * 5
+    assert process.answer_scrape({}, lambda *_: None) == [b'\x02']
+
+
 def test_a_peer_that_sends_a_large_first_frame_is_refused():
     """Guard against memory for frames of senders that are no instances."""
     near, far = socket.socketpair()
