--- a/tests/test_misbehaving/test_limits.py
+++ b/tests/test_misbehaving/test_limits.py
@@ -25,9 +25,12 @@
 from godwitthread.gateway.caller_guard import SWEEP_MS, CallerGuard
 from godwitthread.gateway.frames import MAX_HELLO_BYTES, FrameStream
 from godwitthread.gateway.sessions import Sessions
+from godwitthread.platform import settings
 from godwitthread.platform.bounded_listener import BoundedListener
+from godwitthread.platform.gateway_process import GatewayProcess
 from godwitthread.sockets import has_no_input, listen
 from tests.test_gateway.fakes import configuration, quiet_log
+from tests.test_platform.test_settings import NODE
 
 ACTIVITIES = [Activity.STARTING, Activity.LINE, Activity.RUNNING, Activity.ANSWERING]
 
@@ -211,6 +214,17 @@
     assert guard.budget.used == 0
 
 
+def test_an_owner_whose_links_are_full_begins_no_operations():
+    """Guard against answers that pile up for an entry instance which does not take them."""
+    guard = Guarded().guard
+    request = RunRequest(Action.SINGLE, 1, 'g', 'o', 'id', text='READ a', first=True)
+    guard.budget.set_links(MIB // 2 + 1)
+    assert guard.reserve(request) is None
+    assert guard.reserve(request._replace(first=False)) == 0
+    guard.budget.set_links(0)
+    assert guard.reserve(request) == 0
+
+
 def sessions(**limits):
     guarded, cfg = Guarded(**limits), configuration()
     made = Sessions(
@@ -264,6 +278,19 @@
         sock.close()
 
 
+def test_a_crowd_that_scrapes_costs_one_page(monkeypatch):
+    """Guard against a loop that is kept busy by making the same page of metrics."""
+    process, time_s, pages = GatewayProcess(settings.parse(NODE)), [1.0], []
+    process.clock = Clock(lambda: time_s[0])
+    monkeypatch.setattr(
+        process._metrics, 'application', lambda *_: [pages.append(1) or bytes([len(pages)])]
+    )
+    answers = [process.answer_scrape({}, lambda *_: None) for _ in range(5)]
+    time_s[0] += 0.25
+    assert answers == [[b'\x01']] * 5
+    assert process.answer_scrape({}, lambda *_: None) == [b'\x02']
+
+
 def test_a_peer_that_sends_a_large_first_frame_is_refused():
     """Guard against memory for frames of senders that are no instances."""
     near, far = socket.socketpair()
