Serve instances that do not reach the owner of a group

Cause: with a cut between two of three failure domains, an instance beyond it asks the next owner in its own ranking, which reaches the owner and answers that the group has moved.

Change: with the setting, the first instance by the hash outside the domain of the owner runs the operations that it is asked for. It covers senders without the setting as well, so that instances no longer introduce themselves.

--- a/godwitthread/gateway/group_homes.py
+++ b/godwitthread/gateway/group_homes.py
@@ -28,10 +28,7 @@
 
 
 class HomesRequest(NamedTuple):
-    """Announcement that the sender considers failure domains, and a question for them."""
-
-    #: Whether the sender needs the failure domains.
-    wanted: bool
+    """Question for the failure domains in which the groups are owned."""
 
 
 class HomesAnswer(NamedTuple):
@@ -59,8 +56,6 @@
         self._manager = manager
         self._links = peer_links
         self._homes = HomeDomains(clock.now_ms()) if enabled else None
-        #: Senders that consider failure domains; others rank the owners without them.
-        self._aware: set[str] = set()
         #: Whether the failure domains are being asked for.
         self._asking = False
         manager.homes = self._homes
@@ -84,34 +79,25 @@
             return
         for group in self._homes.tick(self._clock.now_ms()):
             self._manager.invalidate_group(group)
-        reached = [name for name, link in self._links.items() if link.up]
-        if not self._homes.confirmed and not self._asking and reached:
-            # One at a time, since the answer grows with the number of groups.
+        if self._homes.confirmed or self._asking:
+            return
+        # One at a time, since the answer grows with the number of groups.
+        if reached := [name for name, link in self._links.items() if link.up]:
             self._asking = True
-            eventlet.spawn_n(self._ask, random.choice(reached), True)
-
-    def introduce(self, name: str) -> None:
-        """Announce to a peer that has been reached that this instance considers domains."""
-        if self._homes is not None:
-            eventlet.spawn_n(self._ask, name, False)
+            eventlet.spawn_n(self._ask, random.choice(reached))
 
-    def answer(self, sender: str, req: HomesRequest) -> HomesAnswer:
-        """Answer the announcement of a peer."""
-        self._aware.add(sender)
-        if self._homes is None or not req.wanted:
+    def answer(self) -> HomesAnswer:
+        """Answer the question of a peer."""
+        if self._homes is None:
             return HomesAnswer()
         return HomesAnswer(self._homes.report(self._clock.now_ms()))
 
-    def forget_sender(self, sender: str) -> None:
-        """Forget a peer whose connection ended; it announces itself again on the next one."""
-        self._aware.discard(sender)
-
-    def owns(self, group: str, sender: str) -> bool:
-        """Return whether this instance runs a new operation of a sender on a group.
+    def owns(self, group: str) -> bool:
+        """Return whether this instance runs the new operations of a group that it is asked for.
 
-        Besides the owner, the former owner does for a moment. While the setting is being released,
-        so does the owner in the ranking without domains, for a sender without the setting or if
-        the owner is without it.
+        Besides the owner, the former owner does for a moment, and the first instance by the hash
+        outside the owner's failure domain does. It is asked by instances that do not reach the
+        owner, and, while the setting is being released, by those without it.
         """
         resource = f'group/{group}'
         owner = self._manager.owner(resource)
@@ -122,9 +108,7 @@
         former = self._homes.former(self._clock.now_ms(), group)
         if former and self._manager.first(resource, (former,)) == self._name:
             return True
-        aware = {_instance(each) for each in self._aware} | {self._name}
-        unaware = not {_instance(sender), owner} <= aware
-        return unaware and self._manager.first(resource, ()) == self._name
+        return self._manager.first(resource, (), without=owner) == self._name
 
     def owner(self, group: str, moved: int) -> str | None:
         """Return the instance to ask for an operation after a number of answers as moved.
@@ -150,12 +134,12 @@
         first = [self._manager.first(resource, each) for each in ((), *((d,) for d in domains))]
         return list(dict.fromkeys([owner, *(name for name in first if name)]))
 
-    def _ask(self, name: str, wanted: bool) -> None:
+    def _ask(self, name: str) -> None:
         link = self._links.get(name)
         try:
             if link is None or self._homes is None:
                 return
-            body = link.call('homes', HomesRequest(wanted), CALL_TIMEOUT_MS)
+            body = link.call('homes', HomesRequest(), CALL_TIMEOUT_MS)
             answer = links.decode_answer(_answers, body)
             if self._homes.adopt(self._clock.now_ms(), answer.homes):
                 self._manager.invalidate()
@@ -163,9 +147,4 @@
             # An instance of an older build does not know the call.
             logger.debug('failure domains of groups not learned from %s: %s', name, exc)
         finally:
-            self._asking = self._asking and not wanted
-
-
-def _instance(sender: str) -> str:
-    """Return the name of the instance that a sender belongs to."""
-    return sender.partition('/')[0]
+            self._asking = False
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -285,7 +285,7 @@
         runner = self.runners.get(req.group)
         if runner is None:
             raise ProxyError(ErrorKind.BACKEND_UNAVAILABLE, 'the group is unknown to this instance')
-        if req.first and not self.homes.owns(req.group, sender):
+        if req.first and not self.homes.owns(req.group):
             raise ProxyError(ErrorKind.MOVED, 'another instance owns the group')
         self.ownership_manager.track_work(req.group)
         return runner.run(sender, req)
@@ -300,7 +300,7 @@
         calls = PeerCalls()
         calls.add('run', RunRequest, self._run_for_peer)
         calls.add('grant', GrantRequest, lambda _, req: self.grant_router.answer(req))
-        calls.add('homes', HomesRequest, self.homes.answer)
+        calls.add('homes', HomesRequest, lambda *_: self.homes.answer())
         calls.add('reach', ReachRequest, lambda _, req: self.reach_probe.answer(req))
         calls.add('order', OrderRequest, lambda _, req: self.duty_router.answer(req))
         calls.add('claim', ClaimRequest, self.authority.answer_peer)
@@ -316,7 +316,6 @@
 
     def peer_ended(self, sender: str) -> None:
         """Roll back the open transactions of a peer whose connection ended."""
-        self.homes.forget_sender(sender)
         for runner in self.runners.values():
             runner.end_sender(sender)
 
@@ -401,7 +400,6 @@
     def _on_link_change(self, name: str, up: bool) -> None:
         if up:
             self._eviction.set_reachable(name)
-            self.homes.introduce(name)
         else:
             self.authority.drop_voter(name)
             self.store_sync.forget_peer(name)
--- a/godwitthread/gateway/ownership_manager.py
+++ b/godwitthread/gateway/ownership_manager.py
@@ -93,6 +93,8 @@
         self._agreed: dict[str, AgreedOwner] = {}
         #: Position of this instance by resource, cached likewise.
         self._ranks: dict[str, int] = {}
+        #: Owners that result from preferred failure domains, cached likewise.
+        self._firsts: dict[tuple[str, tuple[str, ...], str | None], str | None] = {}
         self._candidate_names: frozenset[str] = frozenset()
         #: Candidates to ask about those that this instance does not reach. Their number is bounded,
         #: so that the cost of the questions does not grow with the deployment.
@@ -136,10 +138,22 @@
             self._owners[resource] = next(iter(order), None)
         return self._owners[resource]
 
-    def first(self, resource: str, domains: Sequence[str]) -> str | None:
-        """Return the owner that results if the given failure domains are preferred."""
+    def first(
+        self, resource: str, domains: Sequence[str], without: str | None = None
+    ) -> str | None:
+        """Return the owner that results if the given failure domains are preferred.
+
+        With the name of an instance, its failure domain is left out.
+        """
         able = set(self._current_inputs().able)
-        return next(iter(ownership.ranked(resource, self.candidates, able, domains)), None)
+        key = resource, tuple(domains), without
+        if key not in self._firsts:
+            if without is not None:
+                domain_of = {peer.name: peer.failure_domain for peer in self.candidates}
+                able = {name for name in able if domain_of[name] != domain_of.get(without)}
+            order = ownership.ranked(resource, self.candidates, able, domains)
+            self._firsts[key] = next(iter(order), None)
+        return self._firsts[key]
 
     def agreed_owner(self, resource: str) -> AgreedOwner:
         """Return the owner that instances agree on even if some do not reach it.
@@ -264,6 +278,7 @@
         self._owners.clear()
         self._agreed.clear()
         self._ranks.clear()
+        self._firsts.clear()
 
     def _begin(self, name: str, group: ManagedGroup) -> None:
         self.owned.add(name)
