--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -254,7 +254,7 @@
         calls = PeerCalls()
         calls.add('run', RunRequest, self._run_for_peer)
         calls.add('grant', GrantRequest, lambda _, req: self.grant_router.answer(req))
-        calls.add('homes', HomesRequest, self.homes.answer)
+        calls.add('homes', HomesRequest, lambda *_: self.homes.answer())
         calls.add('reach', ReachRequest, lambda _, req: self.reach_probe.answer(req))
         calls.add('order', OrderRequest, lambda _, req: self.duty_router.answer(req))
         calls.add('claim', ClaimRequest, self.authority.answer_peer)
@@ -278,7 +278,6 @@
 
     def peer_ended(self, sender: str) -> None:
         """Roll back the open transactions of a peer whose connection ended."""
-        self.homes.forget_sender(sender)
         for runner in self.runners.values():
             runner.end_sender(sender)
 
@@ -364,7 +363,6 @@
     def _on_link_change(self, name: str, up: bool) -> None:
         if up:
             self._eviction.set_reachable(name)
-            self.homes.introduce(name)
         else:
             self.authority.drop_voter(name)
             self.store_sync.forget_peer(name)
--- a/godwitthread/gateway/statement_router.py
+++ b/godwitthread/gateway/statement_router.py
@@ -161,7 +161,7 @@
         runner = self._runners.get(req.group)
         if runner is None:
             raise ProxyError(ErrorKind.BACKEND_UNAVAILABLE, 'the group is unknown to this instance')
-        if req.first and not self._homes.owns(req.group, sender):
+        if req.first and not self._homes.owns(req.group):
             raise ProxyError(ErrorKind.MOVED, 'another instance owns the group')
         self._track_work(req.group)
         return runner.run(sender, req)
