Check that a busy member does not end a transaction

Cause: statements of open transactions wait in the dispatcher now, and no test covered a refusal as busy. Change: a test with two such refusals of a statement and of a commit. Result: both run once, and no count leaks.

--- a/tests/test_gateway/test_group_runner.py
+++ b/tests/test_gateway/test_group_runner.py
@@ -378,3 +378,17 @@
     entries['m0'] = entries['m0']._replace(primary=True)
     made.update(GROUP, entries, set(), 3_000)
     assert made.last_primary == 'm1'
+
+
+@pytest.mark.parametrize('text', ['WRITE i x', 'COMMIT'])
+def test_a_busy_member_does_not_end_a_transaction(text):
+    """Guard against transactions that are rolled back because the member sheds load."""
+    group = FakeGroup()
+    group.script = [(text, Refusal.BUSY), (text, Refusal.BUSY)]
+    made = runner(group)
+    first = made.run('a', request('WRITE i x', Action.IN_TRANSACTION, writes=True))
+    last = made.run('a', request('COMMIT', Action.COMMIT, first=False))
+    assert (first.error, last.error) == ('', '')
+    assert group.texts() == ['WRITE i x', 'COMMIT']
+    assert all(state.running == 0 for state in made.dispatcher.members.values())
+    assert len(made.dispatcher) == 0
