Check a configuration in the form of the platform before it is sent

Cause: a mistake in a configuration shows only when the instances refuse it, or when an entry never matches.

Change: godwitthread configuration check FILE [IN-FORCE] reports what instances refuse, entries that can never match, limits that contradict each other, and differences from the version in force, as text or JSON. It uses the issues, the search for duplicates and the differences of the manifest. Keys are never shown. What row_decoding refuses is a mistake in any case.

--- a/docs/conf.py
+++ b/docs/conf.py
@@ -20,6 +20,7 @@
     'operating/install',
     'operating/upgrade',
     'manifest',
+    'operating/configuration-check',
     'operating/limits',
     'operating/security',
     'operating/metrics',
--- a/godwitthread/cmd/main.py
+++ b/godwitthread/cmd/main.py
@@ -20,6 +20,7 @@
     'demo',
     'standin',
     'manifest',
+    'configuration',
     'status',
     'timeline',
     'completion',
--- a/godwitthread/manifest/check.py
+++ b/godwitthread/manifest/check.py
@@ -40,11 +40,11 @@
 
 def _organisation_rules(manifest: Manifest) -> Iterator[ValidationIssue]:
     organisations = manifest.organisations
-    yield from _duplicates(
+    yield from duplicates(
         (f'$.organisations[{i}].name', o.name) for i, o in _enumerate(organisations)
     )
-    yield from _duplicates(_key_values(organisations, 'id'))
-    yield from _duplicates(_key_values(organisations, 'sha256'))
+    yield from duplicates(_key_values(organisations, 'id'))
+    yield from duplicates(_key_values(organisations, 'sha256'))
 
 
 def _key_values(organisations: Iterable[Organisation], field: str) -> Iterator[tuple[str, Any]]:
@@ -55,14 +55,14 @@
 
 def _domain_rules(manifest: Manifest) -> Iterator[ValidationIssue]:
     domains = manifest.failure_domains
-    yield from _duplicates((f'$.failure_domains[{i}].name', d.name) for i, d in _enumerate(domains))
+    yield from duplicates((f'$.failure_domains[{i}].name', d.name) for i, d in _enumerate(domains))
     if not domains:
         yield ValidationIssue('$.failure_domains', [], 'at least one failure domain')
 
 
 def _database_rules(manifest: Manifest) -> Iterator[ValidationIssue]:
     databases = manifest.databases
-    yield from _duplicates((f'$.databases[{i}].name', d.name) for i, d in _enumerate(databases))
+    yield from duplicates((f'$.databases[{i}].name', d.name) for i, d in _enumerate(databases))
     if not databases:
         yield ValidationIssue('$.databases', [], 'at least one database')
     domains = {domain.name for domain in manifest.failure_domains}
@@ -71,9 +71,7 @@
         path = f'$.databases[{i}]'
         yield from _connection_limit_rule(database, path)
         members = database.members
-        yield from _duplicates(
-            (f'{path}.members[{j}].name', m.name) for j, m in _enumerate(members)
-        )
+        yield from duplicates((f'{path}.members[{j}].name', m.name) for j, m in _enumerate(members))
         for j, member in _enumerate(members):
             yield from _member_rules(member, f'{path}.members[{j}]', domains, addresses)
 
@@ -110,7 +108,7 @@
 
 
 def _route_rules(manifest: Manifest) -> Iterator[ValidationIssue]:
-    yield from _duplicates((f'$.routes[{i}].name', r.name) for i, r in _enumerate(manifest.routes))
+    yield from duplicates((f'$.routes[{i}].name', r.name) for i, r in _enumerate(manifest.routes))
     databases = {database.name for database in manifest.databases}
     organisations = {organisation.name for organisation in manifest.organisations}
     for i, route in _enumerate(manifest.routes):
@@ -120,7 +118,7 @@
                 f'{path}.database', route.database, 'name of a database of this manifest'
             )
         names = tuple((f'{path}.organisations[{j}]', n) for j, n in _enumerate(route.organisations))
-        yield from _duplicates(names)
+        yield from duplicates(names)
         for name_path, name in names:
             if name is not None and name not in organisations:
                 yield ValidationIssue(name_path, name, 'name of an organisation of this manifest')
@@ -164,7 +162,8 @@
             yield ValidationIssue(path, [member.name for member in members], accepted)
 
 
-def _duplicates(values: Iterable[tuple[str, Any]]) -> Iterator[ValidationIssue]:
+def duplicates(values: Iterable[tuple[str, Any]]) -> Iterator[ValidationIssue]:
+    """Report every value that was used before, with its path."""
     seen: Counter[Any] = Counter()
     for path, value in values:
         seen[value] += 1
--- a/godwitthread/platform/row_decoding.py
+++ b/godwitthread/platform/row_decoding.py
@@ -23,7 +23,8 @@
 #: Upper bound of versions and of times since 1970 in ms: integers that all JSON readers keep.
 MAX_INTEGER = 2**53
 
-_CONSISTENCY = {
+#: Consistency by the value of Kind.
+CONSISTENCY = {
     'primary': Consistency.PRIMARY,
     'bounded_staleness': Consistency.BOUNDED,
     'read_your_writes': Consistency.SESSION,
@@ -94,9 +95,9 @@
 
 
 def _consistency(kind: Any) -> Consistency:
-    if not isinstance(kind, str) or kind not in _CONSISTENCY:
+    if not isinstance(kind, str) or kind not in CONSISTENCY:
         raise ValueError('Kind is unknown')
-    return _CONSISTENCY[kind]
+    return CONSISTENCY[kind]
 
 
 def _member(member_id: str, data: dict[str, Any]) -> Member:
