Refuse at once what no member has run for 1.5 s, and wait for 45% of the limit again

Change: a late statement waits until 45% of its limit like all others. Once the members for writes, or for reads, have been missing for 1.5 s, new statements are refused at once, with retry delays of at least 150 ms that are spread.

--- a/godwitthread/core/scheduling/dispatch.py
+++ b/godwitthread/core/scheduling/dispatch.py
@@ -34,6 +34,11 @@
 URGENT_SERVICE_TIMES = 6
 #: Shortest retry delay while no member is there, in ms; about the service time of a statement.
 MIN_RETRY_MS = 10
+#: Time without a member for statements of a kind after which new ones are refused at once, in ms. A
+#: failover takes 0.3 to 1.4 s; without a holder of the promotion duty and the store, much longer.
+MISSING_MS = 1_500
+#: Retry delay that they are given, in ms; an order that reached nobody is repeated after 300 ms.
+MISSING_RETRY_MS = 150
 #: Interval at which the organisations that use slots are counted, in ms.
 ACTIVE_COUNT_MS = 100
 #: Average number of slots from which an organisation counts as using them.
@@ -105,6 +110,8 @@
         self._transaction_use = SlotUse()
         self._late_use = SlotUse()
         self._refused: list[Rejection] = []
+        #: For each lane without a member, since when and when that was seen last, in ms.
+        self._missing: dict[int, tuple[int, int]] = {}
         #: Organisations that wait behind others, since they hold many of the connections.
         self.deferred: set[str] = set()
 
@@ -131,12 +138,16 @@
             member for member in self.members.values() if self._is_eligible(now_ms, work, member)
         ]
         if not able:
+            if self._is_missing(now_ms, lane):
+                return Rejection(work, self.retry_after_ms(now_ms, work, MISSING_RETRY_MS))
             return_ms = self._return_ms(now_ms, work)
             if return_ms is not None and return_ms > max(work.deadline_ms, work.limit_ms):
                 return Rejection(work, return_ms - now_ms)
             # The load says nothing about when a member will be there.
             lane.add_due(work, admission.INITIAL_SLOT_MS)
             return None
+        if self._missing:
+            self._missing.pop(id(lane), None)
         in_time_ms = work.objective_ms - min(member.service_ms for member in able) - now_ms
         free = self._has_free_slot(now_ms, lane, able)
         slot_ms = able[0].slot_ms(work.kind)
@@ -213,25 +224,16 @@
         refused, self._refused = self._refused, []
         return refused
 
-    def may_start_later(self, now_ms: int, work: WorkItem) -> bool:
-        """Return whether a waiting statement can start later, since only load makes it wait."""
-        if now_ms >= self.latest_start_ms(work):
-            return False
+    def has_member(self, now_ms: int, work: WorkItem) -> bool:
+        """Return whether a member may run a statement once it has a free slot."""
         return any(self._is_eligible(now_ms, work, member) for member in self.members.values())
 
-    def latest_start_ms(self, work: WorkItem) -> int:
-        """Return the latest start of a statement that only load makes wait, in ms."""
-        if not work.limit_ms:
-            return work.deadline_ms
-        fastest = min((member.service_ms for member in self.members.values()), default=0.0)
-        return max(work.deadline_ms, int(work.limit_ms - 2 * fastest))
-
-    def retry_after_ms(self, now_ms: int, work: WorkItem) -> int:
+    def retry_after_ms(self, now_ms: int, work: WorkItem, min_delay_ms: int = MIN_RETRY_MS) -> int:
         """Return a retry delay for a statement whose member is missing."""
         slots = sum(member.slots for member in self.members.values()) or 1
         spacing_ms = admission.INITIAL_SLOT_MS / slots
         left_ms = max(work.limit_ms, work.deadline_ms) - now_ms
-        return self.retry_delays.reserve(now_ms, MIN_RETRY_MS, spacing_ms, left_ms)
+        return self.retry_delays.reserve(now_ms, min_delay_ms, spacing_ms, left_ms)
 
     def next_change_ms(self, now_ms: int) -> int | None:
         """Return when `assign` is to run again if no answer arrives, None if nothing waits."""
@@ -263,6 +265,14 @@
         lane.add_due(work, slot_ms)
         self._demand[id(lane)].add(now_ms, slot_ms)
 
+    def _is_missing(self, now_ms: int, lane: Lane) -> bool:
+        """Record that no member may run a statement; return whether that has lasted for long."""
+        since_ms, seen_ms = self._missing.get(id(lane), (now_ms, now_ms))
+        if now_ms - seen_ms >= MISSING_MS:
+            since_ms = now_ms
+        self._missing[id(lane)] = since_ms, now_ms
+        return now_ms - since_ms >= MISSING_MS
+
     def _lane(self, work: WorkItem) -> Lane:
         return self._writes if work.primary else self._reads
 
@@ -337,7 +347,7 @@
         free: bool,
     ) -> Rejection | None:
         """Queue a statement that cannot meet its objective behind the others, or reject it."""
-        latest_ms = self.latest_start_ms(work)
+        latest_ms = work.deadline_ms
         slots = admission.late_slots(backlog.slots, self._demand[id(lane)].slots(now_ms))
         due_ms = lane.due * backlog.slot_ms / backlog.slots
         late_ms = due_ms + (lane.late + 1) * backlog.slot_ms / slots
@@ -362,7 +372,7 @@
                 if self._is_eligible(now_ms, work, member)
             ]
             if not able:
-                lane.add_late(work, self.latest_start_ms(work))
+                lane.add_late(work, work.deadline_ms)
                 continue
             backlog = self._backlog(now_ms, work, lane, able)
             refused = self._admit_late(now_ms, work, lane, backlog, False)
@@ -431,7 +441,7 @@
 
     def _rank(self, work: WorkItem, late: bool) -> tuple[int, int, int, int]:
         if late:
-            return work.priority, self.latest_start_ms(work), 0, work.number
+            return work.priority, work.deadline_ms, 0, work.number
         tag = self.shares.start_tag(work.organisation) if self._sharing else 0
         return work.priority, tag, work.objective_ms, work.number
 
@@ -439,7 +449,7 @@
         """Return whether late statements have less than their share, and one must start soon."""
         work = next(lane.late_in_order())
         slowest_ms = max(member.service_ms for member in self.members.values())
-        if self.latest_start_ms(work) - now_ms > URGENT_SERVICE_TIMES * slowest_ms:
+        if work.deadline_ms - now_ms > URGENT_SERVICE_TIMES * slowest_ms:
             return False
         slots = sum(member.slots for member in self.members.values() if member.usable)
         return self._late_use.slots(now_ms) < admission.LATE_SHARE * slots
--- a/godwitthread/gateway/groups/statement_queue.py
+++ b/godwitthread/gateway/groups/statement_queue.py
@@ -79,27 +79,23 @@
         now_ms = self._clock.now_ms()
         refused = self.dispatcher.submit(now_ms, work)
         if refused is not None:
-            return self._refuse('overloaded', refused)
+            overloaded = self.dispatcher.has_member(now_ms, work)
+            return self._refuse('overloaded' if overloaded else self._missing(work), refused)
         event = self._events[work.number] = eventlet.event.Event()
         self.dispatch_waiting()
-        until_ms = work.deadline_ms
-        while True:
-            with eventlet.Timeout(max(1, until_ms - now_ms) / 1000, False):
-                return self._on_outcome(event.wait())
-            now_ms = self._clock.now_ms()
-            if not self.dispatcher.may_start_later(now_ms, work):
-                break
-            # Only load makes it wait, so it may start as long as its time limit can be met.
-            until_ms = self.dispatcher.latest_start_ms(work)
+        with eventlet.Timeout(max(1, work.deadline_ms - now_ms) / 1000, False):
+            return self._on_outcome(event.wait())
+        now_ms = self._clock.now_ms()
         self._events.pop(work.number, None)
         if not self.dispatcher.cancel(work.number):
             # The work was assigned or refused in the same iteration of the event loop.
             return self._on_outcome(event.wait())
         delay_ms = self.dispatcher.retry_after_ms(now_ms, work)
-        reason = 'too_late' if until_ms > work.deadline_ms else 'no_member'
-        if work.primary and not self.dispatcher.primary:
-            reason = 'no_primary'
-        return self._refuse(reason, Rejection(work, delay_ms))
+        return self._refuse(self._missing(work), Rejection(work, delay_ms))
+
+    def _missing(self, work: WorkItem) -> str:
+        """Return the reason why no member runs a statement."""
+        return 'no_primary' if work.primary and not self.dispatcher.primary else 'no_member'
 
     def _on_outcome(self, outcome: str | Rejection) -> str | Result:
         if isinstance(outcome, str):
--- a/tests/test_gateway/test_dispatch.py
+++ b/tests/test_gateway/test_dispatch.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from godwitthread.core.scheduling.dispatch import Dispatcher
+from godwitthread.core.scheduling.dispatch import MISSING_MS, MISSING_RETRY_MS, Dispatcher
 from godwitthread.core.scheduling.member_state import (
     EXTRA_IN_FLIGHT,
     INITIAL_LAG_MS,
@@ -261,3 +261,26 @@
     ]
     assert tried
     assert tried[0] < 5_000
+
+
+def test_writes_are_refused_at_once_while_the_primary_has_been_missing_for_long():
+    """Guard against callers that wait in vain in an outage of the promotion duty."""
+    made = dispatcher()
+    made.primary = None
+    for now_ms in range(0, MISSING_MS, 100):
+        assert made.submit(now_ms, work(now_ms, primary=True)) is None
+        assert made.cancel(now_ms)
+    refused = made.submit(MISSING_MS, work(-1, primary=True))
+    assert refused is not None
+    assert refused.retry_after_ms >= MISSING_RETRY_MS
+    assert made.submit(MISSING_MS, work(-2)) is None, 'reads have a member'
+    made.primary = 'm0'
+    assert made.submit(MISSING_MS + 1, work(-3, primary=True)) is None
+
+
+def test_a_missing_primary_counts_from_when_it_was_seen():
+    """Guard against refusing the first write after a pause because of an earlier failover."""
+    made = dispatcher()
+    made.primary = None
+    assert made.submit(0, work(1, primary=True)) is None
+    assert made.submit(10 * MISSING_MS, work(2, primary=True)) is None
--- a/tests/test_scheduling/overload.py
+++ b/tests/test_scheduling/overload.py
@@ -112,9 +112,7 @@
             self._idle += 1
 
     def _expire(self, now_ms: int, work: WorkItem) -> None:
-        if self.dispatcher.may_start_later(now_ms, work):
-            self._push(work.limit_ms, 'limit', work)
-        elif self.dispatcher.cancel(work.number):
+        if self.dispatcher.cancel(work.number):
             self._refuse(now_ms, work)
 
     def _start(self, now_ms: int, member: str) -> None:
