--- a/godwitthread/core/caller_limits.py
+++ b/godwitthread/core/caller_limits.py
@@ -9,7 +9,7 @@
 
 MIB = 1024 * 1024
 
-#: Memory that a process needs without callers, in MB: 27 to 42 MB were measured at rest.
+#: Memory that a process needs without callers, in MB; one at rest uses 27 to 42 MB.
 PROCESS_MB = 40
 #: Part of the remaining memory that callers may cause. The rest is for copies that exist for a
 #: moment only, answers that members are sending, and statements too small to be counted. With 0.5,
--- a/godwitthread/core/scheduling/dispatch.py
+++ b/godwitthread/core/scheduling/dispatch.py
@@ -10,7 +10,7 @@
 from godwitthread.core.scheduling.admission import Backlog, SlotUse
 from godwitthread.core.scheduling.fairness import HoldTimeShares
 from godwitthread.core.scheduling.member_state import MemberState, WorkItem
-from godwitthread.core.scheduling.order import Lane, transaction_key
+from godwitthread.core.scheduling.order import Lane, QueueLengths, transaction_key
 from godwitthread.core.scheduling.placement import (
     PRIMARY_READ_PENALTY,
     Choice,
@@ -75,16 +75,6 @@
     reason: Reason | None
 
 
-class QueueLengths(NamedTuple):
-    """Numbers of waiting statements."""
-
-    #: Statements that can meet their objective.
-    in_time: int
-    late: int
-    #: Statements of open transactions.
-    transaction: int
-
-
 class Dispatcher:
     """Assign the waiting statements of a group to its members."""
 
--- a/godwitthread/core/scheduling/order.py
+++ b/godwitthread/core/scheduling/order.py
@@ -30,6 +30,16 @@
     late: bool
 
 
+class QueueLengths(NamedTuple):
+    """Numbers of waiting statements."""
+
+    #: Statements that can meet their objective.
+    in_time: int
+    late: int
+    #: Statements of open transactions.
+    transaction: int
+
+
 class Lane:
     """Waiting statements that the same members may run.
 
