Define the margin of the expected wait once

Cause: a merge left a constant twice, and one that nothing uses.

Change: the second definition and the unused constant are removed.

--- a/godwitthread/core/scheduling/admission.py
+++ b/godwitthread/core/scheduling/admission.py
@@ -20,12 +20,6 @@
 #: Factor on the expected wait of a statement that is to be in time. Without it, a tenth of those
 #: accepted became late while they waited, and were refused although they were never offered.
 WAIT_MARGIN = 1.2
-#: Factor on the expected wait of a statement that is to be in time. Without it, a tenth of those
-#: accepted became late while they waited, and were refused although they were never offered.
-WAIT_MARGIN = 1.2
-#: Share of the slots over which the retry delays are spread at least; a lower one would keep
-#: callers away for seconds after a short peak.
-MIN_RETRY_SHARE = 1.0
 #: Lower bound of the share of the slots assumed for new operations beside open transactions.
 MIN_NEW_SHARE = 0.1
 
