--- a/godwitthread/core/rate_grants.py
+++ b/godwitthread/core/rate_grants.py
@@ -24,6 +24,12 @@
 SLACK_SHARE = 0.5
 #: Retry delay returned when the limit of an organisation is zero, in ms.
 ZERO_LIMIT_RETRY_MS = 1_000
+#: Upper bound of the time after which a refused caller is asked to return, in ms; callers give up
+#: after about a second.
+MAX_RETURN_MS = 1_000
+#: Factor by which the time between two callers that return falls with each refusal of the granter,
+#: unless it is confirmed. The time until the next operation is shorter than that between two.
+SPACING_DECAY = 0.9
 #: Weight of the newest sample in the moving average of the rate of use.
 EWMA_WEIGHT = 0.2
 
@@ -116,6 +122,9 @@
         self.waiting = 0
         #: Time before which the granter has no tokens, in ms.
         self.refused_until_ms = 0
+        #: Time between two callers that return, and when the last one was asked to, in ms.
+        self._spacing_ms = 0.0
+        self._last_return_ms = 0.0
 
     def take(self, now_ms: int) -> bool:
         """Use one granted operation; return False if a new grant is needed."""
@@ -135,12 +144,22 @@
         """Record a grant, whose lifetime starts when the request was sent."""
         if grant.amount <= 0:
             self.refused_until_ms = now_ms + grant.retry_after_ms
+            self._spacing_ms = max(grant.retry_after_ms, self._spacing_ms * SPACING_DECAY)
             return
         if now_ms >= self._expires_ms:
             self._tokens = 0
         self._tokens += grant.amount
         self._expires_ms = sent_ms + GRANT_LIFETIME_MS
 
+    def next_return_ms(self, now_ms: int) -> int:
+        """Return the delay after which a refused caller should return, in ms.
+
+        Callers that return together would find a single operation, and be refused again.
+        """
+        at_ms = max(self._last_return_ms + self._spacing_ms, self.refused_until_ms)
+        self._last_return_ms = min(at_ms, now_ms + MAX_RETURN_MS)
+        return max(1, math.ceil(self._last_return_ms - now_ms))
+
     def _record_use(self, now_ms: int) -> None:
         gap_ms = max(1, now_ms - self._last_used_ms)
         self._last_used_ms = now_ms
--- a/godwitthread/gateway/rate_limiter.py
+++ b/godwitthread/gateway/rate_limiter.py
@@ -71,7 +71,7 @@
                 now_ms = self._clock.now_ms()
                 if holder.refused_until_ms > now_ms:
                     if holder.refused_until_ms > end_ms:
-                        return holder.refused_until_ms - now_ms
+                        return holder.next_return_ms(now_ms)
                     eventlet.sleep((holder.refused_until_ms - now_ms) / 1000)
                 elif now_ms >= hold_ms:
                     return RETRY_MS
--- a/tests/test_gateway/test_rate_grants.py
+++ b/tests/test_gateway/test_rate_grants.py
@@ -11,6 +11,8 @@
 from godwitthread.core.rate_grants import (
     COVERED_CHANGES,
     GRANT_LIFETIME_MS,
+    MAX_RETURN_MS,
+    Grant,
     RateGranter,
     RateHolder,
     RateTolerance,
@@ -153,3 +155,14 @@
     grant = RateGranter(0, 0, 0).grant(1_000, 1, 1)
     assert grant.amount == 0
     assert grant.retry_after_ms > 0
+
+
+def test_refused_callers_return_one_after_the_other():
+    """Guard against refused callers that all return for the next single operation."""
+    holder = RateHolder()
+    holder.receive(0, 0, Grant(0, 100))
+    assert [holder.next_return_ms(0) for _ in range(3)] == [100, 200, 300]
+    assert holder.next_return_ms(250) == 150
+    assert max(holder.next_return_ms(250) for _ in range(50)) == MAX_RETURN_MS
+    holder.receive(5_000, 5_000, Grant(0, 100))
+    assert holder.next_return_ms(5_000) == 100
