Close the connection of a transaction that is rolled back while its statement waits

Cause: a ROLLBACK returned the connection to the pool although a statement of the transaction was waiting for its turn. That statement then ran on the connection, outside its transaction, or inside that of another caller. The entry instance sends such a ROLLBACK after an unexpected error of its own.

Change: the connection is closed unless no statement runs or waits. The in-memory connection answers nothing once it is closed, as the real one.

Result: the new test fails without the change (the statement answered success).

--- a/godwitthread/gateway/groups/group_runner.py
+++ b/godwitthread/gateway/groups/group_runner.py
@@ -52,7 +52,10 @@
         if req.action is Action.ROLLBACK:
             tx = self._transactions.get((sender, req.session))
             if tx is not None:
-                self._end_transaction((sender, req.session), tx, clean=True)
+                # A statement of it may still run or wait for its turn, and must not follow on a
+                # connection that another session uses by then.
+                clean = tx.conn not in self._busy
+                self._end_transaction((sender, req.session), tx, clean=clean)
             return Result(ended=True)
         if req.first:
             wait_ms = self._admit(
--- a/tests/test_gateway/fakes.py
+++ b/tests/test_gateway/fakes.py
@@ -115,6 +115,8 @@
         return not self.closed
 
     def run(self, statement_id, text, timeout_ms, after=None):
+        if self.closed:
+            return Reply(refusal=Refusal.LOST)
         scripted = self._scripted(text)
         if scripted is Refusal.LOST:
             self.close()
--- a/tests/test_gateway/test_group_runner.py
+++ b/tests/test_gateway/test_group_runner.py
@@ -392,3 +392,24 @@
     assert group.texts() == ['WRITE i x', 'COMMIT']
     assert all(state.running == 0 for state in made.dispatcher.members.values())
     assert len(made.dispatcher) == 0
+
+
+def _with_a_waiting_statement(group: FakeGroup, text: str, action: Action):
+    """Begin a transaction, and let its next statement wait for a slot of the primary."""
+    made = runner(group)
+    made.run('a', request('WRITE i x', Action.IN_TRANSACTION, writes=True))
+    state = made.dispatcher.members['m0']
+    state.busy_until_ms = made._clock.now_ms() + 50
+    waiting = eventlet.spawn(made.run, 'a', request(text, action, first=False, writes=True))
+    eventlet.sleep(0)
+    assert len(made.dispatcher) == 1
+    return made, waiting
+
+
+def test_a_statement_that_waits_for_its_turn_never_runs_outside_its_transaction():
+    """Guard against a statement on a connection that was rolled back and given to others."""
+    group = FakeGroup()
+    made, waiting = _with_a_waiting_statement(group, 'WRITE i y', Action.IN_TRANSACTION)
+    made.run('a', request('', Action.ROLLBACK, first=False))
+    assert waiting.wait().error == ErrorKind.TRANSACTION_LOST.value
+    assert group.texts() == ['WRITE i x']
