Send nothing for a transaction that ended while its statement waited

Cause: if the connection was closed while a statement waited for its turn (link of the entry instance lost, failure domain evacuated), the statement got its turn and failed on the closed connection. This counted as a failure of the member for each such transaction (a pause of 150 ms, up to 1,200 ms, and half the statements), and a COMMIT that was never sent was reported as unknown.

Change: the slot is released, and the transaction is reported as lost.

--- a/godwitthread/core/scheduling/member_state.py
+++ b/godwitthread/core/scheduling/member_state.py
@@ -231,6 +231,12 @@
         self.failures += 1
         self._set_allowance(self.allowance * REDUCED_ALLOWANCE)
         backoff_ms = min(MAX_FAILURE_BACKOFF_MS, FAILURE_BACKOFF_MS << min(self.failures - 1, 4))
+    def cancel_sent(self) -> None:
+        """Take back a statement that was recorded as sent but was not."""
+        started_ms = self._remove(None)
+        if not self._started_ms and self.unanswered_since_ms == started_ms:
+            self.unanswered_since_ms = 0
+
         self.paused_until_ms = now_ms + backoff_ms
 
     def _set_allowance(self, number: float) -> None:
--- a/godwitthread/gateway/groups/member_group.py
+++ b/godwitthread/gateway/groups/member_group.py
@@ -269,6 +269,13 @@
             self._abandon(member_id, exc)
             raise
 
+    def _release_unsent(self, member_id: str) -> None:
+        """Free the slot of a statement that was assigned but is not sent."""
+        state = self.dispatcher.members.get(member_id)
+        if state is not None:
+            state.cancel_sent()
+        self.dispatch_waiting()
+
     def _abandon(self, member_id: str, exc: Exception) -> None:
         logger.error('statement at %s failed', member_id, exc_info=exc)
         state = self.dispatcher.members.get(member_id)
--- a/godwitthread/gateway/groups/transaction_runner.py
+++ b/godwitthread/gateway/groups/transaction_runner.py
@@ -114,6 +114,10 @@
         while True:
             self._await_turn(tx, req, deadline_ms, kind)
             sent_ms = self._clock.now_ms()
+            if tx.conn.closed:
+                # The transaction was ended while the statement waited.
+                self._release_unsent(tx.member)
+                return sent_ms, Reply(refusal=Refusal.UNREACHABLE, message='connection closed')
             if commit:
                 reply = tx.conn.run(req.statement_id, req.text, self._left_ms(deadline_ms))
             else:
--- a/tests/test_gateway/test_group_runner.py
+++ b/tests/test_gateway/test_group_runner.py
@@ -413,3 +413,14 @@
     made.run('a', request('', Action.ROLLBACK, first=False))
     assert waiting.wait().error == ErrorKind.TRANSACTION_LOST.value
     assert group.texts() == ['WRITE i x']
+
+
+def test_a_transaction_that_ended_while_it_waited_is_no_failure_of_the_member():
+    """Guard against a pause of the primary because an instance with transactions was lost."""
+    group = FakeGroup()
+    made, waiting = _with_a_waiting_statement(group, 'COMMIT', Action.COMMIT)
+    made.end_sender('a')
+    assert waiting.wait().error == ErrorKind.TRANSACTION_LOST.value
+    state = made.dispatcher.members['m0']
+    assert (state.running, state.failures, state.unanswered_since_ms) == (0, 0, 0)
+    assert group.texts() == ['WRITE i x']
