Close a connection that is released to the pool of another entry of its member

Cause: if a member registers again with another address, it gets a new pool, but connections in use are returned by the name of the member. One that leads to the former process became idle in the new pool, and later statements ran there.

Change: a pool keeps only connections that it opened.

Result: the new test fails without the change.

--- a/godwitthread/gateway/groups/member_pool.py
+++ b/godwitthread/gateway/groups/member_pool.py
@@ -124,11 +124,13 @@
 
     def release(self, conn: Connection) -> None:
         """Return a connection to the pool; close it if it is inside a transaction."""
+        own = conn in self._in_use
         self._in_use.discard(conn)
         self._serve_waiting()
         if conn.closed:
             return
-        if self.closing or conn.state is not TxState.IDLE:
+        # A connection of another pool leads to the process that had the member's name before.
+        if not own or self.closing or conn.state is not TxState.IDLE:
             conn.close()
             return
         conn.used_ms = self._clock.now_ms()
--- a/tests/test_gateway/test_group_runner.py
+++ b/tests/test_gateway/test_group_runner.py
@@ -7,6 +7,7 @@
 import eventlet
 import pytest
 
+from godwitthread.address import Address
 from godwitthread.core.statements import Action, Consistency, Prepared, Refusal, TxState
 from godwitthread.core.write_authority import Succession
 from godwitthread.errors import ErrorKind
@@ -424,3 +425,16 @@
     state = made.dispatcher.members['m0']
     assert (state.running, state.failures, state.unanswered_since_ms) == (0, 0, 0)
     assert group.texts() == ['WRITE i x']
+
+
+def test_a_connection_of_a_former_entry_of_a_member_is_not_reused():
+    """Guard against statements at the process that had the member's name before."""
+    group = FakeGroup()
+    made = runner(group)
+    conn = made.pools['m0'].acquire('drivers', {}, 100)
+    entries = members(group)
+    entries['m0'] = entries['m0']._replace(address=Address('10.0.0.9', 80))
+    made.update(*_update(group, entries))
+    made._release('m0', conn)
+    assert conn.closed
+    assert made.pools['m0'].total == 0
