Report a read that a replaced primary ran as lost instead of not run

Cause: a read at a primary whose replacement could not be ruled out was treated as not run. If no primary was found in time, it was refused as not run although it had reached a member.

Change: it counts as a lost answer, after which another member is tried as before.

Result: the new test fails without the change (backend_unavailable).

--- a/godwitthread/gateway/groups/statement_runner.py
+++ b/godwitthread/gateway/groups/statement_runner.py
@@ -193,7 +193,8 @@
         self._count_traffic(member_id, req, reply)
         self._finish(member_id, conn, sent_ms, reply)
         if on_primary and reply.refusal is None and not self.may_acknowledge(epoch):
-            return Reply(refusal=Refusal.UNREACHABLE, message=UNCONFIRMED)
+            # It ran, so it must not be refused as not run if no other member runs it.
+            return Reply(refusal=Refusal.LOST, message=UNCONFIRMED)
         return reply
 
     def _statement(
--- a/tests/test_gateway/test_group_runner.py
+++ b/tests/test_gateway/test_group_runner.py
@@ -438,3 +438,20 @@
     made._release('m0', conn)
     assert conn.closed
     assert made.pools['m0'].total == 0
+
+
+def test_a_read_that_a_former_primary_ran_is_not_refused_as_not_run(monkeypatch):
+    """Guard against a refusal that denies a statement which reached a member."""
+    group = FakeGroup()
+    made = runner(group)
+    conn_run = FakeConnection.run
+
+    def run(self, statement_id, text, timeout_ms, after=None):
+        made.lease.valid = not text.startswith('READ')
+        return conn_run(self, statement_id, text, timeout_ms, after)
+
+    monkeypatch.setattr(FakeConnection, 'run', run)
+    req = request('READ i', consistency=Consistency.PRIMARY, remaining_ms=100)
+    result = made.run('a', req)
+    assert group.texts() == ['READ i']
+    assert result.error == ErrorKind.CONNECTION_LOST.value
