Do not poll while a kept statement waits and all members are full

Cause: once the time had passed until which a statement was kept in its failure domain, the next check of the group was due 1 ms later, again and again, until a member was free.

Change: only times to come are considered; an answer wakes the others.

--- a/godwitthread/core/scheduling/dispatch.py
+++ b/godwitthread/core/scheduling/dispatch.py
@@ -257,7 +257,7 @@
             for member in members
             if (each := member.expected_applied_ms(now_ms, work.required_ms)) > now_ms
         ]
-        if self.placement is not None and (kept_ms := self.placement.next_change_ms()):
+        if self.placement is not None and (kept_ms := self.placement.next_change_ms(now_ms)):
             times.append(kept_ms)
         return max(now_ms + 1, min(times))
 
--- a/godwitthread/core/scheduling/placement.py
+++ b/godwitthread/core/scheduling/placement.py
@@ -158,9 +158,12 @@
         """Forget a statement that no longer waits."""
         self._kept.pop(number, None)
 
-    def next_change_ms(self) -> int | None:
-        """Return when a statement that is kept is to be sent, None if none is kept."""
-        return min(self._kept.values(), default=None)
+    def next_change_ms(self, now_ms: int = 0) -> int | None:
+        """Return when the next statement that is kept may be sent, None without any.
+
+        One whose time has passed waits for an answer of a member, as all members are full.
+        """
+        return min((each for each in self._kept.values() if each > now_ms), default=None)
 
     def choose(self, now_ms: int, work: WorkItem, places: Sequence[Place]) -> Choice:
         """Choose the member with the shortest expected time to the answer, or keep the statement.
--- a/tests/test_scheduling/test_placement.py
+++ b/tests/test_scheduling/test_placement.py
@@ -162,6 +162,22 @@
     assert Counter(started) == dict.fromkeys(made.members, SLOTS + EXTRA_IN_FLIGHT)
 
 
+def test_a_kept_statement_whose_time_has_passed_causes_no_polling():
+    """Guard against a timer each millisecond while all members are full."""
+    made = group()
+    for member in made.members.values():
+        for _ in range(SLOTS + (EXTRA_IN_FLIGHT if member.id == 'm-a' else 0)):
+            member.record_sent(0)
+    made.members['m-c'].usable = False
+    made.submit(0, work())
+    assert made.assign(0) == []
+    kept_ms = made.next_change_ms(0)
+    assert 0 < kept_ms < 100
+    made.members['m-b'].record_sent(0)
+    assert made.assign(kept_ms) == []
+    assert made.next_change_ms(kept_ms) > kept_ms + 100
+
+
 @pytest.mark.parametrize('state', ['down', 'evacuated', 'lagging'])
 def test_reads_leave_a_domain_whose_members_are_lost(state):
     """Guard against reads that fail with the members of their domain."""
