Wake statements when the rate of a cold member allows the next one

Cause: the next check of a group ignored when a cold member accepts another statement. Without other traffic, statements waited for up to 1 s.

Result: the new test fails without the change (next check at 1,010 ms, due at 50).

--- a/godwitthread/core/scheduling/dispatch.py
+++ b/godwitthread/core/scheduling/dispatch.py
@@ -245,9 +245,9 @@
             times += [
                 each for each in (member.paused_until_ms, member.busy_until_ms) if each > now_ms
             ]
-            overdue_ms = member.next_overdue_ms(now_ms)
-            if overdue_ms is not None:
-                times.append(overdue_ms)
+            for change_ms in (member.next_overdue_ms(now_ms), member.next_cold_send_ms(now_ms)):
+                if change_ms is not None:
+                    times.append(change_ms)
         reads = [work for work in itertools.islice(self._reads, MAX_POSITIONS) if work.required]
         if len(self._reads) > MAX_POSITIONS:
             times.append(now_ms + POSITION_CHECK_MS)
--- a/godwitthread/core/scheduling/member_state.py
+++ b/godwitthread/core/scheduling/member_state.py
@@ -173,6 +173,12 @@
         times = [each + overdue_ms for each in self._started_ms if each < self._answered_start_ms]
         return min((math.ceil(each) for each in times if each > now_ms), default=None)
 
+    def next_cold_send_ms(self, now_ms: int) -> int | None:
+        """Return when the rate of a cold member allows the next statement, None if it does."""
+        if now_ms >= self.cold_until_ms or self.cold_rate <= 0 or now_ms >= self._cold_next_send_ms:
+            return None
+        return min(self.cold_until_ms, math.ceil(self._cold_next_send_ms))
+
     def record_sent(self, now_ms: int) -> None:
         """Record a statement that is sent."""
         self._started_ms.append(now_ms)
@@ -225,18 +231,18 @@
         self._remove(None)
         self.record_contact(now_ms)
 
-    def record_failure(self, now_ms: int, started_ms: int | None = None) -> None:
-        """Record a failed statement or connection, and back off from the member."""
-        self._remove(started_ms)
-        self.failures += 1
-        self._set_allowance(self.allowance * REDUCED_ALLOWANCE)
-        backoff_ms = min(MAX_FAILURE_BACKOFF_MS, FAILURE_BACKOFF_MS << min(self.failures - 1, 4))
     def cancel_sent(self) -> None:
         """Take back a statement that was recorded as sent but was not."""
         started_ms = self._remove(None)
         if not self._started_ms and self.unanswered_since_ms == started_ms:
             self.unanswered_since_ms = 0
 
+    def record_failure(self, now_ms: int, started_ms: int | None = None) -> None:
+        """Record a failed statement or connection, and back off from the member."""
+        self._remove(started_ms)
+        self.failures += 1
+        self._set_allowance(self.allowance * REDUCED_ALLOWANCE)
+        backoff_ms = min(MAX_FAILURE_BACKOFF_MS, FAILURE_BACKOFF_MS << min(self.failures - 1, 4))
         self.paused_until_ms = now_ms + backoff_ms
 
     def _set_allowance(self, number: float) -> None:
--- a/tests/test_gateway/test_dispatch.py
+++ b/tests/test_gateway/test_dispatch.py
@@ -121,6 +121,20 @@
     assert started <= 11
 
 
+def test_work_for_a_cold_member_starts_when_its_rate_allows():
+    """Guard against work that waits for up to a second although a cold member is idle."""
+    made = dispatcher(1, 50)
+    state = made.members['m0']
+    state.cold_rate, state.cold_until_ms = 20.0, 5_000
+    for number in range(2):
+        made.submit(0, work(number))
+    assert len(made.assign(0)) == 1
+    state.record_answer(10, 10.0, None)
+    next_ms = made.next_change_ms(10)
+    assert next_ms == 50
+    assert len(made.assign(next_ms)) == 1
+
+
 def test_silence_is_counted_over_statements_that_timed_out():
     """Guard against an unresponsive primary whose silence restarts with each time-out."""
     state = MemberState('m0', 2)
