Find the next statement without sorting the queue while organisations are deferred

Cause: while an organisation held more than its share of the connections, the whole queue was sorted for each statement that started.

Change: the queue is passed in order, first without the deferred organisations.

--- a/godwitthread/core/scheduling/dispatch.py
+++ b/godwitthread/core/scheduling/dispatch.py
@@ -21,7 +21,7 @@
 from godwitthread.core.scheduling.retry_delays import RetryDelays
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Iterator
 
     from godwitthread.core.scheduling.service_times import Kind
     from godwitthread.types import Position
@@ -421,8 +421,7 @@
                 continue
             if urgent and not self._late_may_precede(now_ms, lane):
                 continue
-            order = lane.late_in_order() if late else lane.in_order(self._sharing)
-            for work in self._undeferred_first(order):
+            for work in self._undeferred_first(lane, late):
                 choice = self._choose_member(now_ms, work, free)
                 member = free.get(choice.member or '')
                 if member is not None:
@@ -434,10 +433,11 @@
             return found[0] if found else None
         return min(found, key=lambda each: self._rank(each.work, late))
 
-    def _undeferred_first(self, order: Iterable[WorkItem]) -> Iterable[WorkItem]:
-        if not self.deferred:
-            return order
-        return sorted(order, key=lambda work: work.organisation in self.deferred)
+    def _undeferred_first(self, lane: Lane, late: bool) -> Iterator[WorkItem]:
+        for deferred in (False, True) if self.deferred else (None,):
+            for work in lane.late_in_order() if late else lane.in_order(self._sharing):
+                if deferred is None or deferred == (work.organisation in self.deferred):
+                    yield work
 
     def _rank(self, work: WorkItem, late: bool) -> tuple[int, int, int, int]:
         if late:
--- a/tests/test_gateway/test_dispatch.py
+++ b/tests/test_gateway/test_dispatch.py
@@ -298,3 +298,24 @@
     made.primary = None
     assert made.submit(0, work(1, primary=True)) is None
     assert made.submit(10 * MISSING_MS, work(2, primary=True)) is None
+
+
+def test_work_behind_a_deferred_organisation_is_found_without_sorting_the_queue():
+    """Guard against an answer that costs time in proportion to the length of the queue."""
+    made = dispatcher(1, 1)
+    for number in range(500):
+        made.submit(0, work(number, objective_ms=60_000, deadline_ms=60_000, organisation='o'))
+    made.deferred = {'p'}
+    made.assign(0)
+    made.members['m0'].record_answer(10, 10.0, None)
+    taken = []
+    order = made._reads.in_order
+
+    def counted(fair):
+        for each in order(fair):
+            taken.append(each.number)
+            yield each
+
+    made._reads.in_order = counted
+    assert len(made.assign(10)) == 1
+    assert len(taken) <= 2
