Release the connection of a statement that an unexpected error ended

Cause: only the slot was released. The connection stayed counted as in use for ever, so that the room for others shrank by one each time. In a transaction the slot stayed occupied as well, and the entry instance's ROLLBACK could read the answer to the earlier statement as its own.

Change: the connection is closed and released; a transaction ends.

Result: the new test fails without the change in all four cases (1 connection in use).

--- a/godwitthread/gateway/groups/member_group.py
+++ b/godwitthread/gateway/groups/member_group.py
@@ -269,6 +269,16 @@
             self._abandon(member_id, exc)
             raise
 
+    @contextlib.contextmanager
+    def _close_on_error(self, member_id: str, conn: Connection) -> Iterator[None]:
+        """Close and release a connection on which an unexpected error ended a statement."""
+        try:
+            yield
+        except Exception:
+            conn.close()
+            self._return_to_pool(member_id, conn)
+            raise
+
     def _release_unsent(self, member_id: str) -> None:
         """Free the slot of a statement that was assigned but is not sent."""
         state = self.dispatcher.members.get(member_id)
--- a/godwitthread/gateway/groups/statement_runner.py
+++ b/godwitthread/gateway/groups/statement_runner.py
@@ -54,7 +54,8 @@
                 if conn is None:
                     continue
                 sent_ms, epoch = self._clock.now_ms(), self.epoch
-                reply = self._statement(conn, req, deadline_ms, None)
+                with self._close_on_error(granted, conn):
+                    reply = self._statement(conn, req, deadline_ms, None)
             usage.ran(sent_ms, reply)
             self._count_traffic(granted, req, reply)
             self._finish(granted, conn, sent_ms, reply, Kind.WRITE)
@@ -177,15 +178,17 @@
         if on_primary:
             # Only a BEGIN without READ proves that the member is the primary now: a former
             # primary answers plain reads as a replica.
-            reply = conn.begin(False, None, self._left_ms(deadline_ms))
-            if reply.refusal is None:
-                self._record_evidence(member_id, sent_ms, epoch, reply)
-                reply = self._statement(conn, req, deadline_ms, None)
-                usage.ran(sent_ms, reply)
-                if not conn.closed:
-                    conn.rollback(INTERNAL_TIMEOUT_MS)
+            with self._close_on_error(member_id, conn):
+                reply = conn.begin(False, None, self._left_ms(deadline_ms))
+                if reply.refusal is None:
+                    self._record_evidence(member_id, sent_ms, epoch, reply)
+                    reply = self._statement(conn, req, deadline_ms, None)
+                    usage.ran(sent_ms, reply)
+                    if not conn.closed:
+                        conn.rollback(INTERNAL_TIMEOUT_MS)
         else:
-            reply = self._statement(conn, req, deadline_ms, work.required)
+            with self._close_on_error(member_id, conn):
+                reply = self._statement(conn, req, deadline_ms, work.required)
             usage.ran(sent_ms, reply)
             state = self.dispatcher.members.get(member_id)
             if reply.refusal is None and state is not None and member_id != self.last_primary:
--- a/godwitthread/gateway/groups/transaction_runner.py
+++ b/godwitthread/gateway/groups/transaction_runner.py
@@ -91,7 +91,11 @@
         commit = req.action is Action.COMMIT
         self._busy.add(tx.conn)
         try:
-            sent_ms, reply = self._run_in(tx, req, deadline_ms, commit)
+            with self._release_slot_on_error(tx.member):
+                sent_ms, reply = self._run_in(tx, req, deadline_ms, commit)
+        except Exception:
+            self._end_transaction(key, tx, clean=False)
+            raise
         finally:
             self._busy.discard(tx.conn)
         tx.usage.ran(sent_ms, reply)
@@ -176,7 +180,8 @@
                 if conn is None:
                     continue
                 sent_ms, epoch = self._clock.now_ms(), self.epoch
-                reply = conn.begin(not on_primary, required, self._left_ms(deadline_ms))
+                with self._close_on_error(granted, conn):
+                    reply = conn.begin(not on_primary, required, self._left_ms(deadline_ms))
             # BEGIN takes no slot, so its duration is no measure of the member's service time.
             self._record_result(
                 granted, req.organisation, sent_ms, reply, Kind.TRANSACTION, timed=False
--- a/tests/test_gateway/test_group_runner.py
+++ b/tests/test_gateway/test_group_runner.py
@@ -455,3 +455,23 @@
     result = made.run('a', req)
     assert group.texts() == ['READ i']
     assert result.error == ErrorKind.CONNECTION_LOST.value
+
+
+@pytest.mark.parametrize('text', ['READ i', 'WRITE i x', 'in a transaction', 'COMMIT'])
+def test_an_unexpected_error_occupies_no_connection(text, monkeypatch):
+    """Guard against connections that are never released after a statement failed with an error."""
+    group = FakeGroup()
+    made = runner(group)
+    action = {'in a transaction': Action.IN_TRANSACTION, 'COMMIT': Action.COMMIT}.get(text)
+    if action:
+        made.run('a', request('WRITE i x', Action.IN_TRANSACTION, writes=True))
+
+    def fail(self, statement_id, text, timeout_ms, after=None):
+        raise ValueError('scripted')
+
+    monkeypatch.setattr(FakeConnection, 'run', fail)
+    req = request(text, action or Action.SINGLE, first=not action, remaining_ms=100)
+    with contextlib.suppress(ValueError):
+        assert made.run('a', req).error
+    assert [len(pool._in_use) for pool in made.pools.values()] == [0, 0, 0]
+    assert all(state.running == 0 for state in made.dispatcher.members.values())
