Do not refuse a read as not run after an attempt whose answer was lost

Cause: a read whose owner was lost after it was sent is repeated. If the next attempt was refused, or no owner was reached in time, the caller was told that the read had not run, although the first attempt may have run.

Change: after such an attempt, a refusal is reported as a lost answer.

--- a/godwitthread/gateway/statement_router.py
+++ b/godwitthread/gateway/statement_router.py
@@ -16,7 +16,7 @@
     is_repeatable,
     unknown_outcome,
 )
-from godwitthread.errors import ErrorKind, ProxyError
+from godwitthread.errors import ERROR_RESPONSES, ErrorKind, Outcome, ProxyError
 from godwitthread.gateway import links
 from godwitthread.loop import eventlet
 
@@ -36,6 +36,10 @@
 CALL_SLACK_MS = 150
 #: Errors of a call that had no effect.
 NOTHING_SENT = (ErrorKind.BACKEND_UNAVAILABLE, ErrorKind.MOVED)
+#: Errors of a result that state that the statement has not run.
+NOT_RUN_ERRORS = frozenset(
+    kind.value for kind, each in ERROR_RESPONSES.items() if each.outcome is Outcome.NOT_RUN
+)
 
 _results = msgspec.msgpack.Decoder(Result)
 
@@ -81,6 +85,8 @@
         if holder is not None:
             return self._run_at_transaction_owner(req, holder), holder
         started_ms, moved = self._clock.now_ms(), 0
+        # Message of an attempt that may have run; no later one is then refused as not run.
+        lost = ''
         while True:
             now_ms = self._clock.now_ms()
             left = req._replace(
@@ -93,15 +99,19 @@
             try:
                 if owner is None:
                     raise ProxyError(ErrorKind.BACKEND_UNAVAILABLE, 'no instance owns the group')
-                return self._run_at(owner, left), owner
+                result = self._run_at(owner, left)
+                if lost and result.error in NOT_RUN_ERRORS:
+                    result = failure(ErrorKind.CONNECTION_LOST, lost, result.retry_after_ms, True)
+                return result, owner
             except ProxyError as exc:
                 not_run = exc.kind in NOTHING_SENT
                 if not not_run and not is_repeatable(req):
                     return unknown_outcome(req, exc.message), owner
+                lost = lost if not_run else exc.message
                 over = self._clock.now_ms() + ROUTE_RETRY_MS >= started_ms + wait_ms
                 if over or self._is_stopping():
-                    if not not_run:
-                        return failure(ErrorKind.CONNECTION_LOST, exc.message), owner
+                    if lost:
+                        return failure(ErrorKind.CONNECTION_LOST, lost), owner
                     kind = ErrorKind.BACKEND_UNAVAILABLE
                     delay_ms = self._retry_delay_ms(req, started_ms)
                     return failure(kind, exc.message, delay_ms, True), owner
