--- a/godwitthread/core/scheduling/dispatch.py
+++ b/godwitthread/core/scheduling/dispatch.py
@@ -21,7 +21,7 @@
 from godwitthread.core.scheduling.retry_delays import RetryDelays
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Iterator
 
     from godwitthread.core.scheduling.service_times import Kind
     from godwitthread.types import Position
@@ -235,9 +235,9 @@
             times += [
                 each for each in (member.paused_until_ms, member.busy_until_ms) if each > now_ms
             ]
-            overdue_ms = member.next_overdue_ms(now_ms)
-            if overdue_ms is not None:
-                times.append(overdue_ms)
+            for change_ms in (member.next_overdue_ms(now_ms), member.next_cold_send_ms(now_ms)):
+                if change_ms is not None:
+                    times.append(change_ms)
         reads = [work for work in itertools.islice(self._reads, MAX_POSITIONS) if work.required]
         if len(self._reads) > MAX_POSITIONS:
             times.append(now_ms + POSITION_CHECK_MS)
@@ -247,7 +247,7 @@
             for member in members
             if (each := member.expected_applied_ms(now_ms, work.required_ms)) > now_ms
         ]
-        if self.placement is not None and (kept_ms := self.placement.next_change_ms()):
+        if self.placement is not None and (kept_ms := self.placement.next_change_ms(now_ms)):
             times.append(kept_ms)
         return max(now_ms + 1, min(times))
 
@@ -411,8 +411,7 @@
                 continue
             if urgent and not self._late_may_precede(now_ms, lane):
                 continue
-            order = lane.late_in_order() if late else lane.in_order(self._sharing)
-            for work in self._undeferred_first(order):
+            for work in self._undeferred_first(lane, late):
                 choice = self._choose_member(now_ms, work, free)
                 member = free.get(choice.member or '')
                 if member is not None:
@@ -424,10 +423,11 @@
             return found[0] if found else None
         return min(found, key=lambda each: self._rank(each.work, late))
 
-    def _undeferred_first(self, order: Iterable[WorkItem]) -> Iterable[WorkItem]:
-        if not self.deferred:
-            return order
-        return sorted(order, key=lambda work: work.organisation in self.deferred)
+    def _undeferred_first(self, lane: Lane, late: bool) -> Iterator[WorkItem]:
+        for deferred in (False, True) if self.deferred else (None,):
+            for work in lane.late_in_order() if late else lane.in_order(self._sharing):
+                if deferred is None or deferred == (work.organisation in self.deferred):
+                    yield work
 
     def _rank(self, work: WorkItem, late: bool) -> tuple[int, int, int, int]:
         if late:
--- a/tests/test_gateway/test_dispatch.py
+++ b/tests/test_gateway/test_dispatch.py
@@ -121,6 +121,20 @@
     assert started <= 11
 
 
+def test_work_for_a_cold_member_starts_when_its_rate_allows():
+    """Guard against work that waits for up to a second although a cold member is idle."""
+    made = dispatcher(1, 50)
+    state = made.members['m0']
+    state.cold_rate, state.cold_until_ms = 20.0, 5_000
+    for number in range(2):
+        made.submit(0, work(number))
+    assert len(made.assign(0)) == 1
+    state.record_answer(10, 10.0, None)
+    next_ms = made.next_change_ms(10)
+    assert next_ms == 50
+    assert len(made.assign(next_ms)) == 1
+
+
 def test_silence_is_counted_over_statements_that_timed_out():
     """Guard against an unresponsive primary whose silence restarts with each time-out."""
     state = MemberState('m0', 2)
@@ -284,3 +298,24 @@
     made.primary = None
     assert made.submit(0, work(1, primary=True)) is None
     assert made.submit(10 * MISSING_MS, work(2, primary=True)) is None
+
+
+def test_work_behind_a_deferred_organisation_is_found_without_sorting_the_queue():
+    """Guard against an answer that costs time in proportion to the length of the queue."""
+    made = dispatcher(1, 1)
+    for number in range(500):
+        made.submit(0, work(number, objective_ms=60_000, deadline_ms=60_000, organisation='o'))
+    made.deferred = {'p'}
+    made.assign(0)
+    made.members['m0'].record_answer(10, 10.0, None)
+    taken = []
+    order = made._reads.in_order
+
+    def counted(fair):
+        for each in order(fair):
+            taken.append(each.number)
+            yield each
+
+    made._reads.in_order = counted
+    assert len(made.assign(10)) == 1
+    assert len(taken) <= 2
--- a/tests/test_gateway/test_group_runner.py
+++ b/tests/test_gateway/test_group_runner.py
@@ -7,6 +7,7 @@
 import eventlet
 import pytest
 
+from godwitthread.address import Address
 from godwitthread.core.statements import Action, Consistency, Prepared, Refusal, TxState
 from godwitthread.core.write_authority import Succession
 from godwitthread.errors import ErrorKind
@@ -392,3 +393,85 @@
     assert group.texts() == ['WRITE i x', 'COMMIT']
     assert all(state.running == 0 for state in made.dispatcher.members.values())
     assert len(made.dispatcher) == 0
+
+
+def _with_a_waiting_statement(group: FakeGroup, text: str, action: Action):
+    """Begin a transaction, and let its next statement wait for a slot of the primary."""
+    made = runner(group)
+    made.run('a', request('WRITE i x', Action.IN_TRANSACTION, writes=True))
+    state = made.dispatcher.members['m0']
+    state.busy_until_ms = made._clock.now_ms() + 50
+    waiting = eventlet.spawn(made.run, 'a', request(text, action, first=False, writes=True))
+    eventlet.sleep(0)
+    assert len(made.dispatcher) == 1
+    return made, waiting
+
+
+def test_a_statement_that_waits_for_its_turn_never_runs_outside_its_transaction():
+    """Guard against a statement on a connection that was rolled back and given to others."""
+    group = FakeGroup()
+    made, waiting = _with_a_waiting_statement(group, 'WRITE i y', Action.IN_TRANSACTION)
+    made.run('a', request('', Action.ROLLBACK, first=False))
+    assert waiting.wait().error == ErrorKind.TRANSACTION_LOST.value
+    assert group.texts() == ['WRITE i x']
+
+
+def test_a_transaction_that_ended_while_it_waited_is_no_failure_of_the_member():
+    """Guard against a pause of the primary because an instance with transactions was lost."""
+    group = FakeGroup()
+    made, waiting = _with_a_waiting_statement(group, 'COMMIT', Action.COMMIT)
+    made.end_sender('a')
+    assert waiting.wait().error == ErrorKind.TRANSACTION_LOST.value
+    state = made.dispatcher.members['m0']
+    assert (state.running, state.failures, state.unanswered_since_ms) == (0, 0, 0)
+    assert group.texts() == ['WRITE i x']
+
+
+def test_a_connection_of_a_former_entry_of_a_member_is_not_reused():
+    """Guard against statements at the process that had the member's name before."""
+    group = FakeGroup()
+    made = runner(group)
+    conn = made.pools['m0'].acquire('drivers', {}, 100)
+    entries = members(group)
+    entries['m0'] = entries['m0']._replace(address=Address('10.0.0.9', 80))
+    made.update(*_update(group, entries))
+    made._release('m0', conn)
+    assert conn.closed
+    assert made.pools['m0'].total == 0
+
+
+def test_a_read_that_a_former_primary_ran_is_not_refused_as_not_run(monkeypatch):
+    """Guard against a refusal that denies a statement which reached a member."""
+    group = FakeGroup()
+    made = runner(group)
+    conn_run = FakeConnection.run
+
+    def run(self, statement_id, text, timeout_ms, after=None):
+        made.lease.valid = not text.startswith('READ')
+        return conn_run(self, statement_id, text, timeout_ms, after)
+
+    monkeypatch.setattr(FakeConnection, 'run', run)
+    req = request('READ i', consistency=Consistency.PRIMARY, remaining_ms=100)
+    result = made.run('a', req)
+    assert group.texts() == ['READ i']
+    assert result.error == ErrorKind.CONNECTION_LOST.value
+
+
+@pytest.mark.parametrize('text', ['READ i', 'WRITE i x', 'in a transaction', 'COMMIT'])
+def test_an_unexpected_error_occupies_no_connection(text, monkeypatch):
+    """Guard against connections that are never released after a statement failed with an error."""
+    group = FakeGroup()
+    made = runner(group)
+    action = {'in a transaction': Action.IN_TRANSACTION, 'COMMIT': Action.COMMIT}.get(text)
+    if action:
+        made.run('a', request('WRITE i x', Action.IN_TRANSACTION, writes=True))
+
+    def fail(self, statement_id, text, timeout_ms, after=None):
+        raise ValueError('scripted')
+
+    monkeypatch.setattr(FakeConnection, 'run', fail)
+    req = request(text, action or Action.SINGLE, first=not action, remaining_ms=100)
+    with contextlib.suppress(ValueError):
+        assert made.run('a', req).error
+    assert [len(pool._in_use) for pool in made.pools.values()] == [0, 0, 0]
+    assert all(state.running == 0 for state in made.dispatcher.members.values())
