Refuse a statement that does not fit in a frame instead of ending the link

Cause: a frame holds the text as UTF-8, where each character from 128 on takes two bytes, and EXEC carries its arguments twice. A line of 1 MiB of such characters, or a shorter one with a large session state, made a frame above 4 MiB. The receiver ended the link, all calls on it failed with an unknown outcome, and reads were sent again after each reconnection.

Change: a call above the limit raises BODY_TOO_LARGE before anything is sent. The statement is refused as not run, and an open transaction is rolled back.

--- a/godwitthread/gateway/links.py
+++ b/godwitthread/gateway/links.py
@@ -22,6 +22,7 @@
     DEPARTED,
     FAILED,
     HEARTBEAT,
+    MAX_FRAME_BYTES,
     TABLE_REPORTS,
     ErrorReply,
     FrameStream,
@@ -122,15 +123,22 @@
         """Send a call to the peer and return the answer.
 
         Raise ProxyError: BACKEND_UNAVAILABLE if nothing was sent, CONNECTION_LOST or
-        DEADLINE_EXCEEDED_AFTER_SEND if the call may have had an effect, or the error with
-        which the peer answered.
+        DEADLINE_EXCEEDED_AFTER_SEND if the call may have had an effect, BODY_TOO_LARGE if it does
+        not fit in a frame and nothing was sent, or the error with which the peer answered.
         """
         stream = self._stream
         if stream is None or not self.up:
             raise ProxyError(ErrorKind.BACKEND_UNAVAILABLE, f'no link to {self.peer.name}')
         call_id = next(self._ids)
+        data = frames.encoder.encode((call_id, kind, body))
+        if len(data) > MAX_FRAME_BYTES:
+            # The receiver would end the link, and all calls on it would fail. Text has up to twice
+            # its size in a frame, since each character from 128 on takes two bytes there.
+            raise ProxyError(
+                ErrorKind.BODY_TOO_LARGE, 'the request is larger than an instance can pass on'
+            )
         waiter = self._waiting[call_id] = eventlet.event.Event()
-        stream.send(call_id, kind, body)
+        stream.send_raw(data)
         try:
             with eventlet.Timeout(max(1, timeout_ms) / 1000, False):
                 frame = waiter.wait()
--- a/godwitthread/gateway/statement_router.py
+++ b/godwitthread/gateway/statement_router.py
@@ -95,6 +95,8 @@
                     raise ProxyError(ErrorKind.BACKEND_UNAVAILABLE, 'no instance owns the group')
                 return self._run_at(owner, left), owner
             except ProxyError as exc:
+                if exc.kind is ErrorKind.BODY_TOO_LARGE:
+                    return failure(exc.kind, exc.message), owner
                 not_run = exc.kind in NOTHING_SENT
                 if not not_run and not is_repeatable(req):
                     return unknown_outcome(req, exc.message), owner
@@ -152,6 +154,8 @@
                 return Result(ended=True)
             return self._ask_result(link, req)
         except ProxyError as exc:
+            if exc.kind is ErrorKind.BODY_TOO_LARGE:
+                return failure(exc.kind, exc.message)
             if exc.kind in NOTHING_SENT:
                 return failure(ErrorKind.TRANSACTION_LOST, exc.message, ended=True)
             return unknown_outcome(req, exc.message)
--- a/tests/test_gateway/test_links.py
+++ b/tests/test_gateway/test_links.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+
 import eventlet
 import msgspec
 import pytest
@@ -11,12 +13,13 @@
 from godwitthread.clock import Clock
 from godwitthread.core.catalog import Peer
 from godwitthread.core.departure import DEPARTURE_DELAY_MS
-from godwitthread.core.statements import Result
+from godwitthread.core.statements import Action, Result, RunRequest
 from godwitthread.core.table_freshness import TableReports
 from godwitthread.errors import ErrorKind, ProxyError
 from godwitthread.gateway import frames, link_server, links
 from godwitthread.gateway.frames import HeartbeatStatus, Hello
 from godwitthread.gateway.links import Link
+from godwitthread.gateway.statement_router import StatementRouter
 
 
 class Listener:
@@ -385,3 +388,46 @@
     assert stream.buffered_bytes == other.buffered_bytes == 0
     stream.release()
     other.release()
+
+
+def test_a_call_larger_than_a_frame_fails_alone():
+    """Guard against one caller's statement that ends the link, and with it all calls on it."""
+    ended_calls = []
+
+    def handler(sender, kind, body):
+        if kind == 'slow':
+            eventlet.sleep(0.3)
+        return kind
+
+    listener, changes = Listener(handler), []
+    link = connected(listener, changes)
+    slow = eventlet.spawn(lambda: ended_calls.append(link.call('slow', None, 2_000)))
+    eventlet.sleep(0.05)
+    # A line of 1 MiB whose characters take two bytes each, with the same arguments once more.
+    text = '\xe9' * (frames.MAX_FRAME_BYTES // 4)
+    with pytest.raises(ProxyError) as caught:
+        link.call('run', (text, text), 2_000)
+    assert caught.value.kind is ErrorKind.BODY_TOO_LARGE
+    slow.wait()
+    assert len(ended_calls) == 1 and changes[0] and False not in changes
+    link.stop()
+
+
+@pytest.mark.parametrize('holder', [None, 'b'])
+def test_a_statement_larger_than_a_frame_has_not_run(holder):
+    """Guard against repeating it until its deadline, and against an outcome told as unknown."""
+
+    def refuse(*_):
+        raise ProxyError(ErrorKind.BODY_TOO_LARGE, 'too large')
+
+    router = StatementRouter(
+        Peer('a', Address('127.0.0.1', 1), 'd1', 1.0, 1), Clock(), {},
+        {'b': SimpleNamespace(call=refuse)}, SimpleNamespace(owner=lambda *_: 'b'),
+        SimpleNamespace(), lambda *_: None, lambda: True, lambda: False, lambda _: 1.0,
+    )  # fmt: skip
+    action = Action.IN_TRANSACTION if holder else Action.SINGLE
+    request = RunRequest(action, 1, 'g', 'o', 'id', 'WRITE a b', writes=True, remaining_ms=1_000)
+    result, _ = router.run(request, holder)
+    assert result.error == ErrorKind.BODY_TOO_LARGE.value
+    # The entry instance rolls the transaction back at its owner.
+    assert not result.ended
