--- a/tests/test_misbehaving/test_limits.py
+++ b/tests/test_misbehaving/test_limits.py
@@ -20,7 +20,15 @@
     Activity,
     MemoryBudget,
 )
-from godwitthread.core.statements import Action, Result, RunRequest, Statement, TxState, Verb
+from godwitthread.core.statements import (
+    Action,
+    Prepared,
+    Result,
+    RunRequest,
+    Statement,
+    TxState,
+    Verb,
+)
 from godwitthread.errors import ErrorKind
 from godwitthread.gateway.caller_guard import SWEEP_MS, CallerGuard
 from godwitthread.gateway.frames import MAX_HELLO_BYTES, FrameStream
@@ -214,6 +222,22 @@
     assert guard.budget.used == 0
 
 
+@pytest.mark.parametrize(
+    'state',
+    [
+        {'prepared': Prepared(True, 'x' * MIB)},
+        {'values': (('x' * MIB, 'y'),)},
+        {'values': (('x', 'y' * MIB),)},
+    ],
+)
+def test_an_owner_counts_the_session_state_that_a_statement_carries(state):
+    """Guard against short statements, each of which carries a large state to the owner."""
+    guard = Guarded(memory_bytes=8 * MIB).guard
+    request = RunRequest(Action.SINGLE, 1, 'g', 'o', 'id', text='EXEC p a', **state)
+    assert guard.reserve(request) > STATEMENT_COPIES * MIB
+    assert guard.reserve(request) is None
+
+
 def test_an_owner_whose_links_are_full_begins_no_operations():
     """Guard against answers that pile up for an entry instance which does not take them."""
     guard = Guarded().guard
