Yield after a long line also if nothing is left of it in the buffer

Cause: a connection yields after a statement if data behind it was read already. A line whose size is a multiple of one read (16 KiB) leaves nothing, although more waits in the kernel. Statements that the session answers itself then ran one after the other, and one caller held the loop while it kept sending.

Change: the connection yields after each line of more than half a read, too. A shorter line that fills a read has others of the same read before it.

Result: the new test in tests/test_platform/test_caller_connection.py fails without the change (six lines, fewer than six turns of another thread) and passes with it. Ordinary statements have hundreds of bytes and yield as before.

--- a/godwitthread/platform/caller_connection.py
+++ b/godwitthread/platform/caller_connection.py
@@ -164,8 +164,9 @@
                 raise
             del data
             session.mark_answered()
-            if self._reader.has_more:
-                # A caller that sends ahead always has a line ready; nothing else would run.
+            if self._reader.has_more or size > READ_BYTES // 2:
+                # A caller that sends ahead always has a line ready; nothing else would run. Nothing
+                # is left of a line that ends with a read, although more may wait in the kernel.
                 eventlet.sleep(0)
             if account.last:
                 self._end_after_answer()
--- a/tests/test_platform/test_caller_connection.py
+++ b/tests/test_platform/test_caller_connection.py
@@ -1,9 +1,17 @@
-"""Tests of the error codes that callers receive."""
+"""Connections of callers, and the error codes that they receive."""
 
 from __future__ import annotations
 
+import eventlet
+from eventlet.green import socket
+
+from godwitthread.clock import Clock
+from godwitthread.core.statements import Result
 from godwitthread.errors import ERROR_RESPONSES, ErrorKind, Outcome
-from godwitthread.platform.caller_connection import ERROR_CODES
+from godwitthread.gateway.sessions import Sessions
+from godwitthread.platform.caller_connection import ERROR_CODES, serve
+from godwitthread.platform.line_protocol import READ_BYTES
+from tests.test_gateway.fakes import configuration, quiet_log
 
 #: Codes which guarantee that the attempt had no effect.
 NOT_RUN_CODES = {'BUSY', 'ABORTED', 'LAGGING', 'READONLY', 'WRONGNODE', 'TOOMANY'}
@@ -21,3 +29,25 @@
     for kind in ErrorKind:
         if ERROR_RESPONSES[kind].outcome is not Outcome.NOT_RUN:
             assert ERROR_CODES.get(kind, 'INDOUBT') not in NOT_RUN_CODES
+
+
+def test_a_caller_that_sends_ahead_whole_reads_does_not_stop_the_loop():
+    """Guard against lines that leave nothing in the buffer although more waits in the kernel."""
+    lines, turns = 6, []
+    clock, cfg = Clock(), configuration()
+    sessions = Sessions(
+        clock, lambda: cfg, lambda *_: (Result(), 'owner'), quiet_log(clock), lambda *_: None
+    )
+    near, far = socket.socketpair()
+    thread = eventlet.spawn(serve, far, sessions)
+    near.sendall(b'START orders-db k1\r\n')
+    assert near.recv(100).startswith(b'READY')
+    start = b'QUERY 1 SET a '
+    near.sendall((start + b'x' * (READ_BYTES - len(start) - 2) + b'\r\n') * lines)
+    near.shutdown(socket.SHUT_WR)
+    while not thread.dead:
+        turns.append(1)
+        eventlet.sleep(0)
+    assert near.recv(10_000).count(b'DONE') == lines
+    assert len(turns) >= lines
+    near.close()
