Let a receiver's median of more clocks outvote three own readings

Cause: an owner that receives no counts has three clocks: its own and those of the two receivers, whose wall clocks come with the answers. Three suffice for a median, so the median of all candidates in the same answers was ignored. With two wrong clocks of these three, it placed its requests in wrong windows although most clocks were right.

Change: a median of more clocks, received within 30 s, replaces the own one if they differ by more than 250 ms. Otherwise the own readings remain, since the time in an answer is off by up to half of the round trip.

Result: the new test in tests/test_usage/test_usage_counts.py fails without the change; test_usage_counts.py and test_usage_reports.py pass with it.

--- a/godwitthread/core/usage_windows.py
+++ b/godwitthread/core/usage_windows.py
@@ -29,6 +29,9 @@
 READINGS = 4
 #: Time after which the readings of a silent peer are dropped, in ms.
 READING_AGE_MS = 30_000
+#: Difference from which a median of more clocks replaces that of the own readings, in ms. The time
+#: in an answer is off by up to half of the round trip (125 ms), since its two ways can differ.
+MAX_DIFFERENCE_MS = 250
 #: Time without a known true time after which this instance's own clock is used, in ms.
 OWN_CLOCK_MS = 3_000
 #: Width of the intervals in which requests are kept while the true time is unknown, in ms.
@@ -130,8 +133,9 @@
         self._started_ms = now_ms
         #: Newest offsets by peer, with the time of the last one.
         self._readings: dict[str, tuple[int, list[int]]] = {}
-        #: Offset of the median of another instance's clocks.
+        #: Offset of the median of another instance's clocks, their number, and when it was read.
         self._adopted: int | None = None
+        self._adopted_clocks = self._adopted_ms = 0
         self._offset: int | None = None
 
     @property
@@ -148,6 +152,7 @@
         """Adopt the true time that a peer knows from a number of clocks."""
         if clocks >= MIN_CLOCKS:
             self._adopted = true_ms - now_ms
+            self._adopted_clocks, self._adopted_ms = clocks, now_ms
 
     def update(self, now_ms: int, own_wall_ms: int) -> None:
         """Determine the true time again."""
@@ -158,12 +163,24 @@
         offsets.append(own_wall_ms - now_ms)
         if len(offsets) >= MIN_CLOCKS:
             self._offset = statistics.median_low(offsets)
+            if self._is_outvoted(now_ms, len(offsets), self._offset):
+                self._offset = self._adopted
         elif self._adopted is not None:
             self._offset = self._adopted
         elif self._offset is None and now_ms - self._started_ms >= OWN_CLOCK_MS:
             # Alone, this instance keeps to the first reading of its clock, which may step later.
             self._offset = statistics.median_low(offsets)
 
+    def _is_outvoted(self, now_ms: int, clocks: int, offset: int) -> bool:
+        """Return whether a recent median of more clocks contradicts that of the own readings.
+
+        An instance that receives no counts reads its own clock and those of the two receivers, two
+        of which may be wrong although most clocks are right.
+        """
+        if self._adopted is None or now_ms - self._adopted_ms > READING_AGE_MS:
+            return False
+        return self._adopted_clocks > clocks and abs(self._adopted - offset) > MAX_DIFFERENCE_MS
+
     def at(self, now_ms: int) -> int | None:
         """Return the true time at a time of the boot-time clock, None while it is unknown."""
         return None if self._offset is None else now_ms + self._offset
--- a/tests/test_usage/test_usage_counts.py
+++ b/tests/test_usage/test_usage_counts.py
@@ -135,3 +135,21 @@
     assert loaded.lease_ms == 3_000
     zero = settings.parse(NODE | {'Bounds': dict.fromkeys(bounds, 0) | {'GraceS': 6}})
     assert (zero.usage, zero.lease_ms, zero.require_fence) == (None, 0, False)
+
+
+def test_two_wrong_clocks_of_three_do_not_outweigh_the_median_of_a_receiver():
+    """Guard against an owner whose own clock and that of one receiver are wrong."""
+    time = TrueTime(0)
+    for now_ms in (1_000, 2_000):
+        time.read_clock(now_ms, 'first', START_MS + now_ms + 4_000)
+        time.read_clock(now_ms, 'second', START_MS + now_ms)
+        time.adopt(now_ms, START_MS + now_ms + 100, 9)
+        time.update(now_ms, START_MS + now_ms + 3_000)
+        assert time.at(now_ms) == START_MS + now_ms + 100
+    # The own readings are more exact where they agree with it, and more recent without answers.
+    time.update(2_100, START_MS + 2_100 + 50)
+    assert time.at(2_100) == START_MS + 2_100 + 50
+    time.read_clock(33_000, 'first', START_MS + 33_000 + 4_000)
+    time.read_clock(33_000, 'second', START_MS + 33_000 + 4_000)
+    time.update(33_000, START_MS + 33_000)
+    assert time.at(33_000) == START_MS + 33_000 + 4_000
