--- a/godwitthread/gateway/statement_router.py
+++ b/godwitthread/gateway/statement_router.py
@@ -99,17 +99,12 @@
             try:
                 if owner is None:
                     raise ProxyError(ErrorKind.BACKEND_UNAVAILABLE, 'no instance owns the group')
-                result = self._run_at(owner, left)
-                if lost and result.error in NOT_RUN_ERRORS:
-                    result = failure(ErrorKind.CONNECTION_LOST, lost, result.retry_after_ms, True)
-                return result, owner
+                return _after_lost_attempt(self._run_at(owner, left), lost), owner
             except ProxyError as exc:
-                if exc.kind is ErrorKind.BODY_TOO_LARGE:
-                    return failure(exc.kind, exc.message), owner
-                not_run = exc.kind in NOTHING_SENT
-                if not not_run and not is_repeatable(req):
-                    return unknown_outcome(req, exc.message), owner
-                lost = lost if not_run else exc.message
+                final = _final_result(req, exc)
+                if final is not None:
+                    return final, owner
+                lost = lost if exc.kind in NOTHING_SENT else exc.message
                 over = self._clock.now_ms() + ROUTE_RETRY_MS >= started_ms + wait_ms
                 if over or self._is_stopping():
                     if lost:
@@ -179,3 +174,19 @@
             raise ProxyError(ErrorKind.MOVED, 'another instance owns the group')
         self._track_work(req.group)
         return runner.run(sender, req)
+
+
+def _final_result(req: RunRequest, exc: ProxyError) -> Result | None:
+    """Return the result of a statement that is not sent again after an error."""
+    if exc.kind is ErrorKind.BODY_TOO_LARGE:
+        return failure(exc.kind, exc.message)
+    if exc.kind in NOTHING_SENT or is_repeatable(req):
+        return None
+    return unknown_outcome(req, exc.message)
+
+
+def _after_lost_attempt(result: Result, lost: str) -> Result:
+    """Return a result, but do not report as not run what an earlier attempt may have run."""
+    if lost and result.error in NOT_RUN_ERRORS:
+        return failure(ErrorKind.CONNECTION_LOST, lost, result.retry_after_ms, True)
+    return result
