Count a member that fails each attempt as missing

Cause: a crashed primary is tried again after each pause.

Change: members are present again once one has answered. A statement that finds a free slot is still accepted.

Result: the new test fails without the change.

--- a/godwitthread/core/scheduling/dispatch.py
+++ b/godwitthread/core/scheduling/dispatch.py
@@ -137,7 +137,7 @@
             lane.add_due(work, admission.INITIAL_SLOT_MS)
             return None
         if self._missing:
-            self._missing.pop(id(lane), None)
+            self._end_missing(lane, able)
         in_time_ms = work.objective_ms - min(member.service_ms for member in able) - now_ms
         free = self._has_free_slot(now_ms, lane, able)
         slot_ms = able[0].slot_ms(work.kind)
@@ -263,6 +263,12 @@
         self._missing[id(lane)] = since_ms, now_ms
         return now_ms - since_ms >= MISSING_MS
 
+    def _end_missing(self, lane: Lane, able: list[MemberState]) -> None:
+        """Count members as present again once one has answered, not between its failures."""
+        since_ms = self._missing.get(id(lane), (0, 0))[0]
+        if any(member.last_answer_ms > since_ms for member in able):
+            self._missing.pop(id(lane), None)
+
     def _lane(self, work: WorkItem) -> Lane:
         return self._writes if work.primary else self._reads
 
--- a/tests/test_gateway/test_dispatch.py
+++ b/tests/test_gateway/test_dispatch.py
@@ -319,3 +319,22 @@
     made._reads.in_order = counted
     assert len(made.assign(10)) == 1
     assert len(taken) <= 2
+
+
+def test_a_primary_that_fails_each_attempt_counts_as_missing():
+    """Guard against callers that wait for a crashed primary that is tried between its pauses."""
+    made = dispatcher()
+    primary = made.members['m0']
+    for now_ms in range(0, MISSING_MS, 100):
+        if not now_ms % 300:
+            primary.record_failure(now_ms)
+        assert made.submit(now_ms, work(now_ms, primary=True)) is None
+        assert made.cancel(now_ms)
+    primary.record_failure(MISSING_MS)
+    assert made.submit(MISSING_MS, work(-1, primary=True)) is not None
+    later_ms = primary.paused_until_ms
+    assert made.submit(later_ms, work(-2, primary=True)) is None, 'a free slot may run it'
+    primary.record_answer(later_ms + 10, 5.0, None)
+    assert made.submit(later_ms + 10, work(-3, primary=True)) is None
+    primary.record_failure(later_ms + 20)
+    assert made.submit(later_ms + 20, work(-4, primary=True)) is None
