Treat a memory or descriptor limit of 0 or null as not given

Cause: the platform writes 0 or null for a bound that does not apply, as for the fields of Bounds, but `Limits.MemoryMb` and `Limits.MaxFds` were refused with such a value, and the process did not start.

Change: they are read like the other optional fields.

Result: the extended test in tests/test_platform/test_settings.py fails without the change; all 18 tests of the file pass with it.

--- a/godwitthread/platform/settings.py
+++ b/godwitthread/platform/settings.py
@@ -181,11 +181,8 @@
 
 
 def _read_limits(reader: SettingsReader, environ: Mapping[str, str]) -> CallerLimits:
-    given = reader.data.get('Limits') if isinstance(reader.data, dict) else None
     values = [
-        reader.read(f'Limits.{name}', partial(_number, maximum=maximum))
-        if isinstance(given, dict) and name in given
-        else None
+        reader.read_optional(f'Limits.{name}', partial(_number, maximum=maximum), None)
         for name, maximum in (('MemoryMb', MAX_MEMORY_MB), ('MaxFds', MAX_DESCRIPTORS))
     ]
     try:
--- a/tests/test_platform/test_settings.py
+++ b/tests/test_platform/test_settings.py
@@ -50,6 +50,9 @@
     assert settings.parse(NODE).limits == CallerLimits()
     limits = NODE['Limits'] | {'MemoryMb': 200, 'MaxFds': 4_300}
     assert settings.parse(NODE | {'Limits': limits}).limits == derive(200, 4_300)
+    for none in (0, None):
+        unbounded = limits | {'MemoryMb': none, 'MaxFds': none}
+        assert settings.parse(NODE | {'Limits': unbounded}).limits == CallerLimits()
     with pytest.raises(ExceptionGroup) as info:
         settings.parse(
             NODE | {'Limits': limits | {'MemoryMb': 'x', 'MaxFds': -1}},
