Start the failures of the platform anew with each time the usage duty is taken

Cause: the time of the first of successive failures was kept by an instance that lost the duty during an outage of the platform, and cleared only by a report of its own. The next time it took the duty, even much later, one lost answer counted as an outage since then: it gave the duty up at once, and the windows waited for another `LeaseMs`.

Change: taking the duty forgets earlier failures of the platform.

Result: the new test in tests/test_usage/test_usage_reports.py fails without the change; test_usage_reports.py and test_usage_property.py pass with it.

--- a/godwitthread/gateway/usage_duty.py
+++ b/godwitthread/gateway/usage_duty.py
@@ -268,6 +268,8 @@
         self._write(mine, seen.revision)
         self._seen = None
         self._attempts, self._refused = 0, False
+        # Failures of an earlier time as holder are not successive with those to come.
+        self._failing_since_ms.pop(PLATFORM, None)
         self._open = row.window > self.closed
         self._after = max(row.window, self.closed, self._first_window(seen) - 1)
         self._log.event('usage_duty_taken', token=token, window=row.window)
--- a/tests/test_usage/test_usage_reports.py
+++ b/tests/test_usage/test_usage_reports.py
@@ -293,3 +293,20 @@
     assert cluster.ledger.violations == []
     last = TERMS.window(cluster.true_ms()) - 2
     assert cluster.wrong_windows(last - 3, last) == []
+
+
+def test_an_earlier_outage_does_not_shorten_the_time_for_the_next_one():
+    """Guard against a duty that changes its holder after a single lost answer."""
+    cluster = Cluster()
+    cluster.run(12_000)
+    cluster.platform_down = True
+    cluster.run(15_000)
+    cluster.platform_down = False
+    cluster.run(60_000)
+    former = cluster.holder()
+    cluster.instances[former].alive = False
+    cluster.platform_script = ['lost']
+    while cluster.platform_script:
+        cluster.run(250)
+    assert cluster.holder() not in (None, former)
+    assert not cluster.ledger.violations
