Wake waiting statements when a member has accepted a connection

Cause: a successful trial beyond the accepted number of connections makes room for another one at once, but nothing waiting was assigned before the next answer or request.

Result: the new test fails without the change (no second connection is being opened 15 ms after the trial began).

--- a/godwitthread/gateway/groups/member_group.py
+++ b/godwitthread/gateway/groups/member_group.py
@@ -495,6 +495,8 @@
         if state is not None:
             state.observe_position(reply.position)
             state.record_setup(took_ms)
+        # The member may accept yet another connection, as after a trial.
+        self.dispatch_waiting()
 
     def _left_ms(self, deadline_ms: int) -> int:
         return max(1, deadline_ms - self._clock.now_ms())
--- a/tests/test_gateway/test_connection_limit.py
+++ b/tests/test_gateway/test_connection_limit.py
@@ -17,6 +17,8 @@
 from godwitthread.loop import eventlet
 from tests.test_gateway.fakes import FakeGroup, members, request, runner
 from tests.test_gateway.virtual_members import (
+    OPEN_MS,
+    ROUND_TRIP_MS,
     LimitedGroup,
     Load,
     in_virtual_time,
@@ -257,3 +259,20 @@
         limit.record_refused(now_ms, 12)
         delays.append(limit.next_probe_ms(now_ms) - now_ms)
     assert delays == [100, 200, 400, 400, 400, 400]
+
+
+def test_a_successful_trial_wakes_the_next_waiting_statement():
+    """Guard against a statement that waits for an answer although a connection can be had."""
+
+    def replay(clock):
+        made = limited_runner(LimitedGroup(accepts=8), clock)
+        pool = made.pools['m0']
+        pool.acquire('held', {}, 100)
+        pool.accepted.record_refused(clock.now_ms(), 1)
+        eventlet.sleep(connection_limit.FIRST_PROBE_MS / 1000)
+        for name in ('x', 'y'):
+            eventlet.spawn(made.run, 'a', request(f'WRITE {name}', organisation=name))
+        eventlet.sleep((OPEN_MS + 3 * ROUND_TRIP_MS) / 1000)
+        return pool._opening
+
+    assert in_virtual_time(replay) == 1
