End a statement that is refused as not run after its time limit

Cause: a statement that its member refused as not run, or whose BEGIN failed, is assigned again. After its time limit a free slot still started it at once, so that it was sent without end if the member kept refusing.

Change: it is refused as not run once its time limit has passed.

--- a/godwitthread/gateway/groups/statement_queue.py
+++ b/godwitthread/gateway/groups/statement_queue.py
@@ -77,6 +77,9 @@
     def _wait(self, work: WorkItem) -> str | Result:
         """Wait for a member; return it, or the refusal of the statement as not run."""
         now_ms = self._clock.now_ms()
+        if work.limit_ms and now_ms >= work.limit_ms:
+            # A member that refuses it as not run would otherwise get it again and again.
+            return self._refuse('too_late', Rejection(work, 0))
         refused = self.dispatcher.submit(now_ms, work)
         if refused is not None:
             overloaded = self.dispatcher.has_member(now_ms, work)
--- a/tests/test_gateway/test_group_runner.py
+++ b/tests/test_gateway/test_group_runner.py
@@ -8,7 +8,7 @@
 import pytest
 
 from godwitthread.address import Address
-from godwitthread.core.statements import Action, Consistency, Prepared, Refusal, TxState
+from godwitthread.core.statements import Action, Consistency, Prepared, Refusal, Reply, TxState
 from godwitthread.core.write_authority import Succession
 from godwitthread.errors import ErrorKind
 from godwitthread.gateway.groups import group_runner
@@ -475,3 +475,21 @@
         assert made.run('a', req).error
     assert [len(pool._in_use) for pool in made.pools.values()] == [0, 0, 0]
     assert all(state.running == 0 for state in made.dispatcher.members.values())
+
+
+@pytest.mark.parametrize('refusal', [Refusal.FAILED, Refusal.UNPREPARED])
+@pytest.mark.parametrize('action', [Action.SINGLE, Action.IN_TRANSACTION])
+def test_a_statement_that_is_refused_again_and_again_ends(action, refusal, monkeypatch):
+    """Guard against a statement that is sent for ever, also after its time limit."""
+    group = FakeGroup()
+    made = runner(group)
+    end_ms = made._clock.now_ms() + 300
+
+    def refuse(*args):
+        assert made._clock.now_ms() < end_ms
+        return Reply(refusal=refusal)
+
+    monkeypatch.setattr(FakeConnection, 'begin', refuse)
+    monkeypatch.setattr(FakeConnection, 'run', refuse)
+    result = made.run('a', request('WRITE i x', action, writes=True, remaining_ms=50))
+    assert result.error in ('statement_failed', 'overloaded')
