Give up a transaction that is still being begun when its session goes on

If the entry instance gave the call up meanwhile and its session began another transaction, the earlier one took the place of the later one at the owner when its connection was open. Later statements and the COMMIT then joined it, and committed a statement whose caller had been told that it had no effect; the later transaction kept its connection for ever. After a ROLLBACK or the end of the link, it stayed open until it had been idle for too long.

Change: the newest first statement of a session counts. An earlier transaction is closed before its first statement is sent, and reported as lost.

--- a/godwitthread/gateway/groups/group_runner.py
+++ b/godwitthread/gateway/groups/group_runner.py
@@ -50,6 +50,7 @@
         now_ms = self._clock.now_ms()
         deadline_ms = now_ms + req.remaining_ms
         if req.action is Action.ROLLBACK:
+            self._beginning.pop((sender, req.session), None)
             tx = self._transactions.get((sender, req.session))
             if tx is not None:
                 # A statement of it may still run or wait for its turn, and must not follow on a
@@ -76,6 +77,7 @@
     def close(self) -> None:
         """End all transactions, after their running statements, and keep no idle connections."""
         self.disable_pooling()
+        self._beginning.clear()
         while self._transactions:
             self.end_idle_transactions()
             eventlet.sleep(TICK_MS / 1000)
--- a/godwitthread/gateway/groups/transaction_runner.py
+++ b/godwitthread/gateway/groups/transaction_runner.py
@@ -49,6 +49,8 @@
     ) -> None:
         super().__init__(name, clock, ports, log, lease)
         self._transactions: dict[tuple[str, int], OpenTransaction] = {}
+        #: Number of the newest transaction of each session that is being begun.
+        self._beginning: dict[tuple[str, int], int] = {}
         #: Connections of transactions in which a statement is running.
         self._busy: set[Connection] = set()
 
@@ -70,6 +72,8 @@
 
     def end_sender(self, sender: str) -> None:
         """Roll back the transactions of a peer connection that has ended."""
+        for key in [each for each in self._beginning if each[0] == sender]:
+            del self._beginning[key]
         for key, tx in list(self._transactions.items()):
             if key[0] == sender:
                 self._end_transaction(key, tx, clean=False)
@@ -84,7 +88,7 @@
         if tx is None:
             if not req.first:
                 return failure(ErrorKind.TRANSACTION_LOST, 'the transaction ended', ended=True)
-            begun = self._begin(req, deadline_ms)
+            begun = self._begin_for(key, req, deadline_ms)
             if isinstance(begun, Result):
                 return begun
             tx = self._transactions[key] = begun
@@ -166,6 +170,22 @@
         reason = f'rolled back: {reply.refusal.value}'
         return failure(ErrorKind.TRANSACTION_LOST, reason, ended=True)
 
+    def _begin_for(
+        self, key: tuple[str, int], req: RunRequest, deadline_ms: int
+    ) -> OpenTransaction | Result:
+        """Begin a transaction, unless its session gives it up meanwhile."""
+        number = self._beginning[key] = next(self._numbers)
+        try:
+            begun = self._begin(req, deadline_ms)
+        finally:
+            newest = self._beginning.get(key) == number
+            if newest:
+                del self._beginning[key]
+        if newest or isinstance(begun, Result):
+            return begun
+        self._end_transaction(key, begun, clean=False)
+        return failure(ErrorKind.TRANSACTION_LOST, 'the transaction ended', ended=True)
+
     def _begin(self, req: RunRequest, deadline_ms: int) -> OpenTransaction | Result:
         hold_ms = self._hold_until(req)
         while True:
--- a/tests/test_gateway/test_group_runner.py
+++ b/tests/test_gateway/test_group_runner.py
@@ -493,3 +493,35 @@
     monkeypatch.setattr(FakeConnection, 'run', refuse)
     result = made.run('a', request('WRITE i x', action, writes=True, remaining_ms=50))
     assert result.error in ('statement_failed', 'overloaded')
+
+
+@pytest.mark.parametrize('event', ['new transaction', 'rollback', 'link ended'])
+def test_a_transaction_that_begins_late_joins_no_later_one(event):
+    """Guard against a commit of statements whose caller was told that they had no effect.
+
+    A transaction was given up by its entry instance while its connection was being opened.
+    """
+    group = FakeGroup()
+    made = runner(group)
+    connect, waits_s = group.connect, [0.05, 0.0]
+
+    def connect_slowly(member, organisation):
+        eventlet.sleep(waits_s.pop(0))
+        return connect(member, organisation)
+
+    made.pools['m0']._connect = connect_slowly
+    old = eventlet.spawn(made.run, 'a', request('WRITE i old', Action.IN_TRANSACTION, writes=True))
+    eventlet.sleep(0.01)
+    if event == 'rollback':
+        made.run('a', request('', Action.ROLLBACK, first=False))
+    elif event == 'link ended':
+        made.end_sender('a')
+    made.run('a', request('WRITE i new', Action.IN_TRANSACTION, writes=True))
+    if event != 'new transaction':
+        made.run('a', request('', Action.ROLLBACK, first=False))
+    assert old.wait().error == ErrorKind.TRANSACTION_LOST.value
+    committed = made.run('a', request('COMMIT', Action.COMMIT, first=False)).error == ''
+    assert committed == (event == 'new transaction')
+    assert 'WRITE i old' not in group.texts()
+    assert len(made.pools['m0']._in_use) == 0
+    assert not made._transactions
