Count the time without a member anew after a statement has run

Cause: the time for which no member had run statements ended only with the next new statement that found one. A statement that had waited and then ran did not end it, so that a second short failover, or a pause of 10 ms of a busy primary, was taken for an outage of over 1.5 s, and writes were refused at once.

Result: the new test fails without the change (refused 0.2 s after the member was missed again).

--- a/godwitthread/core/scheduling/dispatch.py
+++ b/godwitthread/core/scheduling/dispatch.py
@@ -457,6 +457,7 @@
     def _account(self, now_ms: int, start: _Start) -> None:
         _, work, member, late, _ = start
         start.lane.remove(work.number)
+        self._missing.pop(id(start.lane), None)
         self._forget(work.number)
         member.record_sent(now_ms)
         member.reserve_connection(work.organisation)
--- a/tests/test_gateway/test_dispatch.py
+++ b/tests/test_gateway/test_dispatch.py
@@ -319,3 +319,16 @@
     made._reads.in_order = counted
     assert len(made.assign(10)) == 1
     assert len(taken) <= 2
+
+
+def test_a_missing_primary_counts_anew_after_it_has_run_a_statement():
+    """Guard against refusals at once during a short failover soon after another one."""
+    made = dispatcher()
+    made.primary = None
+    assert made.submit(0, work(1, primary=True)) is None
+    made.primary = 'm0'
+    assert len(made.assign(300)) == 1
+    made.primary = None
+    late = {'deadline_ms': 9_000, 'objective_ms': 9_000, 'primary': True}
+    assert made.submit(MISSING_MS - 100, work(2, **late)) is None
+    assert made.submit(MISSING_MS + 100, work(3, **late)) is None
