--- a/godwitthread/core/caller_limits.py
+++ b/godwitthread/core/caller_limits.py
@@ -24,7 +24,7 @@
 #: Parts of the other descriptors that callers, peers, and each HTTP port may use. The rest is kept
 #: for links, the store and members: an owner of four groups has up to 840 connections to members.
 CALLER_DESCRIPTORS = 5 / 8
-PEER_DESCRIPTORS = 1 / 8
+PEER_DESCRIPTORS = 1 / 6
 HTTP_DESCRIPTORS = 1 / 32
 #: Least number of connections of a kind.
 MIN_CONNECTIONS = 16
--- a/godwitthread/core/scheduling/dispatch.py
+++ b/godwitthread/core/scheduling/dispatch.py
@@ -206,6 +206,11 @@
     ) -> None:
         """Record an answer at the member, and the slot time of the organisation."""
         held_ms = member.record_answer(now_ms, service_ms, position, started_ms, kind)
+        if self._missing:
+            # A pause of a member that has answered is the start of another absence.
+            for lane in (self._writes, self._reads):
+                if lane is self._reads or member.id == self.primary:
+                    self._missing.pop(id(lane), None)
         if held_ms is not None:
             self.shares.learn(organisation, round(held_ms))
 
--- a/godwitthread/gateway/groups/statement_runner.py
+++ b/godwitthread/gateway/groups/statement_runner.py
@@ -39,6 +39,36 @@
 UNCONFIRMED = 'the primary may have been replaced'
 
 
+class ReadAnswers:
+    """Answers to the attempts of one read; those that come after its end are dropped.
+
+    A hedged read whose answers are large would otherwise keep the later ones in memory.
+    """
+
+    def __init__(self) -> None:
+        self._queue: eventlet.queue.LightQueue = eventlet.queue.LightQueue()
+        self._closed = False
+
+    def put(self, answer: tuple[str, Reply]) -> None:
+        """Add the answer of a member."""
+        if not self._closed:
+            self._queue.put(answer)
+
+    def get(self, timeout_ms: int) -> tuple[str, Reply] | None:
+        """Return the next answer, None if there is none in time."""
+        try:
+            answer: tuple[str, Reply] = self._queue.get(timeout=timeout_ms / 1000)
+        except eventlet.queue.Empty:
+            return None
+        return answer
+
+    def close(self) -> None:
+        """Drop the answers that were not needed."""
+        self._closed = True
+        while self._queue.qsize():
+            self._queue.get_nowait()
+
+
 class StatementRunner(MemberGroup):
     """Execute single statements on the members of one group."""
 
@@ -70,7 +100,15 @@
             return _error_result(reply)
 
     def _read(self, req: RunRequest, deadline_ms: int) -> Result:
-        answers: eventlet.queue.LightQueue = eventlet.queue.LightQueue()
+        answers = ReadAnswers()
+        try:
+            return self._read_until_answered(answers, req, deadline_ms)
+        finally:
+            answers.close()
+
+    def _read_until_answered(
+        self, answers: ReadAnswers, req: RunRequest, deadline_ms: int
+    ) -> Result:
         hold_ms = self._hold_until(req)
         usage = Operation(req.organisation, self.count_usage)
         tried: set[str] = set()
@@ -126,7 +164,7 @@
 
     def _next_answer(
         self,
-        answers: eventlet.queue.LightQueue,
+        answers: ReadAnswers,
         tried: set[str],
         deadline_ms: int,
         pending: int,
@@ -137,11 +175,7 @@
         wait_ms = max(1, deadline_ms - self._clock.now_ms())
         if len(tried) < MAX_READ_ATTEMPTS:
             wait_ms = min(wait_ms, self._hedge_ms(tried))
-        try:
-            answer: tuple[str, Reply] = answers.get(timeout=wait_ms / 1000)
-        except eventlet.queue.Empty:
-            return None
-        return answer
+        return answers.get(wait_ms)
 
     def _hedge_ms(self, tried: set[str]) -> int:
         states = [self.dispatcher.members.get(each) for each in tried]
@@ -150,7 +184,7 @@
 
     def _attempt(
         self,
-        answers: eventlet.queue.LightQueue,
+        answers: ReadAnswers,
         work: WorkItem,
         member_id: str,
         usage: Operation,
--- a/tests/test_gateway/test_dispatch.py
+++ b/tests/test_gateway/test_dispatch.py
@@ -12,6 +12,7 @@
     MemberState,
     WorkItem,
 )
+from godwitthread.core.scheduling.service_times import Kind
 from godwitthread.types import Position
 
 
@@ -338,3 +339,17 @@
     assert made.submit(later_ms + 10, work(-3, primary=True)) is None
     primary.record_failure(later_ms + 20)
     assert made.submit(later_ms + 20, work(-4, primary=True)) is None
+
+
+def test_a_missing_primary_counts_anew_after_it_has_run_a_statement():
+    """Guard against refusals at once during a short failover soon after another one."""
+    made = dispatcher()
+    made.primary = None
+    assert made.submit(0, work(1, primary=True)) is None
+    made.primary = 'm0'
+    assert len(made.assign(300)) == 1
+    made.record_answer(310, made.members['m0'], '', Kind.WRITE, 10.0, None, 300)
+    made.primary = None
+    late = {'deadline_ms': 9_000, 'objective_ms': 9_000, 'primary': True}
+    assert made.submit(MISSING_MS - 100, work(2, **late)) is None
+    assert made.submit(MISSING_MS + 100, work(3, **late)) is None
