Release the connection of a probe that an unexpected error ended

Cause: it stayed counted as in use for ever.

Change: it is closed and released, as for statements.

Result: the new test fails without the change.

--- a/godwitthread/gateway/groups/member_group.py
+++ b/godwitthread/gateway/groups/member_group.py
@@ -175,12 +175,13 @@
             self._log.failure('evidence_not_renewed', member=member_id, reason=exc.refusal.value)
             self.dispatch_waiting()
             return False
-        reply = conn.begin(False, None, INTERNAL_TIMEOUT_MS)
-        if reply.refusal is not Refusal.LOST:
-            state.record_contact(self._clock.now_ms())
-        if reply.refusal is None:
-            self._record_evidence(member_id, sent_ms, epoch, reply)
-            conn.rollback(INTERNAL_TIMEOUT_MS)
+        with self._close_on_error(member_id, conn):
+            reply = conn.begin(False, None, INTERNAL_TIMEOUT_MS)
+            if reply.refusal is not Refusal.LOST:
+                state.record_contact(self._clock.now_ms())
+            if reply.refusal is None:
+                self._record_evidence(member_id, sent_ms, epoch, reply)
+                conn.rollback(INTERNAL_TIMEOUT_MS)
         self._release(member_id, conn)
         return reply.refusal is None
 
--- a/tests/test_gateway/test_group_runner.py
+++ b/tests/test_gateway/test_group_runner.py
@@ -525,3 +525,18 @@
     assert 'WRITE i old' not in group.texts()
     assert len(made.pools['m0']._in_use) == 0
     assert not made._transactions
+
+
+def test_an_unexpected_error_of_a_probe_occupies_no_connection(monkeypatch):
+    """Guard against connections that are never released after a probe failed with an error."""
+    group = FakeGroup()
+    made = runner(group)
+    made.pools['m0'].last_organisation = 'drivers'
+
+    def fail(*args):
+        raise ValueError('scripted')
+
+    monkeypatch.setattr(FakeConnection, 'begin', fail)
+    with pytest.raises(ValueError, match='scripted'):
+        made.confirm_primary('m0')
+    assert not made.pools['m0']._in_use
