Build the instances of the system tests with the merged options

Cause: after the merge, the tests passed the crossing cost where the instance takes its options, and called a method that has moved to the router. The test of the owner's failure domain failed.

Result: the tests with such instances pass (18).

--- a/tests/test_system/gateways.py
+++ b/tests/test_system/gateways.py
@@ -11,6 +11,7 @@
 from godwitthread.gateway import link_server
 from godwitthread.gateway.metrics import Metrics
 from godwitthread.gateway.node import Node
+from godwitthread.gateway.options import Options
 from godwitthread.gateway.ports import Ports, PromotionResult
 from godwitthread.gateway.shutdown import shut_down
 from godwitthread.loop import eventlet
@@ -169,7 +170,8 @@
             lambda *_: PromotionResult(done=True, final=True),
         )
         log = quiet_log(self.clock)
-        node = Node(peer, self.clock, ports, log, Metrics(), self.crossing_cost_ms)
+        options = Options(crossing_cost_ms=self.crossing_cost_ms)
+        node = Node(peer, self.clock, ports, log, Metrics(), options)
         sock = listen(peer.address)
         self._listeners[name] = sock, eventlet.spawn(_accept, sock, node)
         self.nodes.append(node)
--- a/tests/test_system/test_owner_domains.py
+++ b/tests/test_system/test_owner_domains.py
@@ -38,7 +38,7 @@
             wait_until(lambda: all(node.ready() for node in deployment.nodes))
         for node in deployment.nodes:
             read = request('READ a', group=GROUP, organisation=ANONYMOUS)
-            result, _ = node.run(read, None)
+            result, _ = node.router.run(read, None)
             refused += [result.message] if result.error else []
         seen += [deployment.owner_domains()]
         eventlet.sleep(0.1)
