--- a/godwitthread/core/caller_limits.py
+++ b/godwitthread/core/caller_limits.py
@@ -42,7 +42,7 @@
     #: Connections to the readiness port, and to the metrics port.
     http_connections: int = 249
     #: Connections to the peer port.
-    peer_connections: int = 999
+    peer_connections: int = 1_332
     #: Those of them whose sender has not identified itself.
     unidentified_peers: int = 64
     #: Time within which a caller sends `START`, and a peer identifies itself, in ms.
