Count and log answers that do not fit the request, and lines with control bytes

No log or metric distinguished the hypotheses of the incident. A line that holds CR or LF is counted by the kind of its peer (first hypothesis). Data that arrive without a request, a receipt that arrives twice on a connection, a success without a receipt and a receipt for a request of the gateway itself are counted and logged as event 606 with member and request (second and third).

--- a/godwitthread/events.py
+++ b/godwitthread/events.py
@@ -147,6 +147,12 @@
             604, 'connections_limited', 'backend server accepts fewer connections', logging.WARNING
         ),
         _event_type(605, 'connections_unlimited', 'backend server accepts all connections again'),
+        _event_type(
+            606,
+            'answer_irregular',
+            'answer of a backend server does not fit the request',
+            logging.WARNING,
+        ),
         _event_type(621, 'crossings_started', 'statements leave the failure domain for long'),
         _event_type(622, 'crossings_stopped', 'statements stay in the failure domain again'),
         _event_type(701, 'invariant_violated', 'invariant violated', logging.ERROR),
--- a/godwitthread/platform/caller_connection.py
+++ b/godwitthread/platform/caller_connection.py
@@ -28,6 +28,7 @@
 
 if TYPE_CHECKING:
     import socket
+    from collections.abc import Callable
 
     from godwitthread.core.memory_budget import Account
     from godwitthread.core.statements import Result, Statement
@@ -67,10 +68,16 @@
 }
 
 
-def serve(sock: socket.socket, sessions: Sessions, guard: CallerGuard | None = None) -> None:
+def serve(
+    sock: socket.socket,
+    sessions: Sessions,
+    guard: CallerGuard | None = None,
+    note_line: Callable[[], None] | None = None,
+) -> None:
     """Authenticate a caller and serve its statements until the connection is closed."""
     guard = guard or CallerGuard(CallerLimits(), sessions.clock, sessions.log)
     reader = LineReader(sock, MAX_START_LINE_BYTES)
+    reader.on_control_byte = note_line
     account = guard.open(sock, reader.close)
     if account is None:
         sock.close()
--- a/godwitthread/platform/gateway_process.py
+++ b/godwitthread/platform/gateway_process.py
@@ -17,6 +17,7 @@
 from godwitthread import loop
 from godwitthread.clock import Clock
 from godwitthread.core import ownership
+from godwitthread.core.answer_audit import Irregularity
 from godwitthread.core.catalog import Peer
 from godwitthread.errors import ProxyError
 from godwitthread.events import EventLog, HybridLogicalClock
@@ -28,11 +29,12 @@
 from godwitthread.gateway.node import Node
 from godwitthread.gateway.options import Options
 from godwitthread.gateway.ports import Ports, UsagePort
+from godwitthread.gateway.session import MAX_LOGGED
 from godwitthread.gateway.shutdown import open_calls, shut_down
 from godwitthread.loop import eventlet
 from godwitthread.platform import caller_connection, promotion, row_decoding, usage_report
 from godwitthread.platform.bounded_listener import BoundedListener
-from godwitthread.platform.member_connection import open_connection
+from godwitthread.platform.member_connection import ConnectionObserver, open_connection
 from godwitthread.platform.settings import load
 from godwitthread.platform.store import StoreClient
 from godwitthread.sockets import configure, listen
@@ -107,7 +109,12 @@
         )
         self.guard = CallerGuard(settings.limits, self.clock, self._log)
         ports = Ports(
-            connect=partial(open_connection, count=self.guard.count_received),
+            connect=partial(
+                open_connection,
+                observer=ConnectionObserver(
+                    self.clock, self.guard.count_received, self._report_answer, self._note_line
+                ),
+            ),
             store=partial(StoreClient, settings.store_address),
             schema=row_decoding.SCHEMA,
             promote=partial(promotion.promote, settings.promotion_address),
@@ -117,6 +124,28 @@
             lease_ms=settings.lease_ms,
         )
         metrics = Metrics()
+        #: Answers of members by how they fail to fit the request in progress.
+        self._irregular_answers = dict.fromkeys(Irregularity, 0)
+        #: Number of lines that hold CR or LF as data, by the kind of the peer.
+        self._control_byte_lines = {'caller': 0, 'member': 0}
+        metrics.gauges(
+            'godwitthread_irregular_answers',
+            'Answers of members that did not fit the request in progress, since the start',
+            'kind',
+            {
+                each.value: partial(self._irregular_answers.__getitem__, each)
+                for each in Irregularity
+            },
+        )
+        metrics.gauges(
+            'godwitthread_control_byte_lines',
+            'Lines received that hold CR or LF beside their end, since the start',
+            'peer',
+            {
+                peer: partial(self._control_byte_lines.__getitem__, peer)
+                for peer in self._control_byte_lines
+            },
+        )
         options = Options(settings.rate_tolerance, settings.crossing_cost_ms)
         self.node = Node(peer, self.clock, ports, self._log, metrics, options, self.guard)
         self._add_limit_metrics(metrics)
@@ -222,7 +251,18 @@
 
     def _serve_caller(self, sock: Any) -> None:
         configure(sock)
-        caller_connection.serve(sock, self.node.sessions, self.guard)
+        note_line = partial(self._note_line, 'caller')
+        caller_connection.serve(sock, self.node.sessions, self.guard, note_line)
+
+    def _note_line(self, peer: str = 'member') -> None:
+        self._control_byte_lines[peer] += 1
+
+    def _report_answer(self, member: str, statement_id: str, irregularity: Irregularity) -> None:
+        self._irregular_answers[irregularity] += 1
+        request = statement_id[:MAX_LOGGED]
+        self._log.failure(
+            'answer_irregular', member=member, request=request, reason=irregularity.value
+        )
 
     def _make_room_for_peer(self) -> bool:
         """End the oldest connection without an identified sender if there are too many."""
--- a/godwitthread/platform/line_protocol.py
+++ b/godwitthread/platform/line_protocol.py
@@ -35,6 +35,8 @@
         self.limit = limit
         #: Called with the number of bytes received of a line whose end has not arrived.
         self.on_partial: Callable[[int], None] | None = None
+        #: Called for each line that holds CR or LF beside its end.
+        self.on_control_byte: Callable[[], None] | None = None
         self._sock = sock
         #: Data received and not yet returned.
         self._buffer = bytearray()
@@ -53,7 +55,8 @@
         The references between the session and its connection form a cycle, so that the data would
         otherwise stay until the next run of the garbage collector.
         """
-        self.on_partial, self._closed = None, True
+        self.on_partial = self.on_control_byte = None
+        self._closed = True
         self._buffer.clear()
         self._searched = 0
 
@@ -82,7 +85,11 @@
 
     def _take(self, end: int) -> str:
         buffer, length = self._buffer, end
-        if buffer.endswith(b'\r', 0, end):
+        ended_by_lf = not buffer.endswith(b'\r', 0, end)
+        holds_cr = buffer.find(b'\r', 0, end if ended_by_lf else end - 1) >= 0
+        if self.on_control_byte is not None and (ended_by_lf or holds_cr):
+            self.on_control_byte()
+        if not ended_by_lf:
             length = end - 1
             if buffer.endswith(b'\r', 0, length):
                 length = len(buffer[:length].rstrip(b'\r'))
--- a/godwitthread/platform/member_connection.py
+++ b/godwitthread/platform/member_connection.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any, NamedTuple
 
+from godwitthread.clock import Clock
+from godwitthread.core.answer_audit import AnswerAudit, Irregularity
 from godwitthread.core.memory_budget import SMALL_BYTES
 from godwitthread.core.statements import Refusal, Reply, TxState
 from godwitthread.gateway.ports import MemberStatus, NotConnectedError
@@ -19,8 +22,6 @@
 from godwitthread.sockets import connect, has_no_input, shutdown_socket
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from godwitthread.core.catalog import Member
     from godwitthread.core.statements import Prepared
     from godwitthread.types import Position
@@ -41,11 +42,27 @@
 _STATES = {'I': TxState.IDLE, 'T': TxState.OPEN, 'E': TxState.FAILED}
 
 
+class ConnectionObserver(NamedTuple):
+    """Callbacks that observe the connections to members."""
+
+    clock: Clock
+    #: Called with each change of the size of a large answer that is being received, in bytes.
+    count_bytes: Callable[[int], None]
+    #: Called with the member, the id of the request and the irregularity of an answer.
+    report: Callable[[str, str, Irregularity], None]
+    #: Called for each line of a member that holds CR or LF as data.
+    note_line: Callable[[], None]
+
+
 class MemberConnection:
     """Connection to one member, opened on behalf of one organisation."""
 
     def __init__(
-        self, sock: Any, organisation: str, count: Callable[[int], None] | None = None
+        self,
+        sock: Any,
+        organisation: str,
+        member_id: str = '',
+        observer: ConnectionObserver | None = None,
     ) -> None:
         self.organisation = organisation
         #: Session values that are set on the member for this connection.
@@ -62,11 +79,13 @@
         #: Whether a green thread is waiting for a response.
         self._waiting = False
         self._reader = LineReader(sock)
-        #: Called with each change of the size of a large answer that is being received, in bytes.
-        self._count = count
+        self._member_id = member_id
+        self._observer = observer
+        self._audit = AnswerAudit()
         self._counted = self._row_bytes = 0
-        if count is not None:
+        if observer is not None:
             self._reader.on_partial = self._note_received
+            self._reader.on_control_byte = observer.note_line
 
     def alive(self) -> bool:
         """Return whether an idle connection is still open.
@@ -95,9 +114,13 @@
             # The time-out applies to each read, not to the whole response; a member that
             # responds slowly line by line is still processing the statement.
             self._waiting = True
+            if self._reader.has_input():
+                self._report(statement_id, Irregularity.UNSOLICITED)
             self._sock.settimeout(max(1, timeout_ms) / 1000)
             self._sock.sendall(encode(f'QUERY {statement_id} {_add_position(text, after)}'))
-            return self._read_reply()
+            reply = self._read_reply()
+            self._audit_reply(statement_id, reply)
+            return reply
         except OSError as exc:
             self.closed = True
             return Reply(refusal=Refusal.LOST, message=str(exc))
@@ -176,10 +199,23 @@
 
     def _note_received(self, partial_bytes: int) -> None:
         size = self._row_bytes + partial_bytes
-        if self._count is not None and (size > SMALL_BYTES or self._counted):
-            self._count(size - self._counted)
+        if self._observer is not None and (size > SMALL_BYTES or self._counted):
+            self._observer.count_bytes(size - self._counted)
             self._counted = size
 
+    def _audit_reply(self, statement_id: str, reply: Reply) -> None:
+        if self._observer is None:
+            return
+        takes_receipt = statement_id != GATEWAY_STATEMENT_ID
+        now_ms = self._observer.clock.now_ms()
+        irregularity = self._audit.check(now_ms, reply, takes_receipt=takes_receipt)
+        if irregularity is not None:
+            self._report(statement_id, irregularity)
+
+    def _report(self, statement_id: str, irregularity: Irregularity) -> None:
+        if self._observer is not None:
+            self._observer.report(self._member_id, statement_id, irregularity)
+
     def _read_reply(self) -> Reply:
         try:
             return self._read_lines()
@@ -230,12 +266,9 @@
 
 
 def open_connection(
-    member: Member, organisation: str, count: Callable[[int], None] | None = None
+    member: Member, organisation: str, observer: ConnectionObserver | None = None
 ) -> tuple[MemberConnection, Reply]:
-    """Connect to a member and verify its identity; raise NotConnectedError.
-
-    `count` is called with each change of the size of a large answer that is being received.
-    """
+    """Connect to a member and verify its identity; raise NotConnectedError."""
     try:
         sock = connect(member.address, CONNECT_TIMEOUT_MS)
         sock.settimeout(CONNECT_TIMEOUT_MS / 1000)
@@ -244,7 +277,7 @@
         error = NotConnectedError(Refusal.UNREACHABLE, f'{type(exc).__name__}: {exc}')
         error.port_closed = isinstance(exc, ConnectionRefusedError)
         raise error from exc
-    conn = MemberConnection(sock, organisation, count)
+    conn = MemberConnection(sock, organisation, member.id, observer)
     reply = conn.read_greeting()
     if reply.refusal is not None:
         conn.close()
--- a/tests/test_platform/test_member_connection.py
+++ b/tests/test_platform/test_member_connection.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import socket
+
 import msgspec
 import pytest
 
+from godwitthread.clock import Clock
 from godwitthread.core.statements import Refusal, Reply
 from godwitthread.gateway.ports import MemberStatus
-from godwitthread.platform.member_connection import MemberConnection
+from godwitthread.platform.member_connection import ConnectionObserver, MemberConnection
 from godwitthread.types import Position
 from tests.test_platform.test_line_protocol import ChunkedSocket
 
@@ -19,6 +22,11 @@
 
     def __init__(self, *lines: str) -> None:
         super().__init__([f'{line}\r\n'.encode('latin-1') for line in lines])
+        #: Idle socket that stands for the one of the connection.
+        self._idle, self._far = socket.socketpair()
+
+    def fileno(self):
+        return self._idle.fileno()
 
     def settimeout(self, timeout_s):
         pass
@@ -82,7 +90,8 @@
     ]
     member = ScriptedMember()
     member._chunks = [b'ROW a\r\nDONE r\r\nREADY I -\r\n', *chunks, b'ROW ' + b'x' * 5_000]
-    conn = MemberConnection(member, 'o', counted.append)
+    observer = ConnectionObserver(Clock(), counted.append, lambda *_: None, lambda: None)
+    conn = MemberConnection(member, 'o', 'm0', observer)
     assert conn.run('1', 'READ a', 100).rows == ('a',)
     assert counted == []
     assert conn.run('2', 'READ a', 100).rows == ('x' * 9_000 + 'y' * 9_000, 'z')
