--- /dev/null
+++ b/tests/test_wire/codec.py
@@ -0,0 +1,33 @@
+"""Line protocol as its published page states it, without the code under test.
+
+A line ends with CR LF; its last field extends to the end of the line, so that every other byte
+is data. The product's codec on both sides of a check would hide its own faults.
+"""
+
+from __future__ import annotations
+
+END = b'\r\n'
+
+
+def lines(*parts: bytes) -> bytes:
+    """Return the wire form of lines."""
+    return b''.join(part + END for part in parts)
+
+
+def answer(receipt: bytes, *rows: bytes, state: bytes = b'I', position: bytes = b'3.9') -> bytes:
+    """Return the answer to a request that succeeded; the receipt is `-` for session commands."""
+    ready = b'READY ' + state + b' ' + position
+    return lines(*(b'ROW ' + row for row in rows), b'DONE ' + receipt, ready)
+
+
+def refusal(
+    code: bytes, text: bytes = b'i-1', *, state: bytes = b'I', position: bytes = b'3.9'
+) -> bytes:
+    """Return the answer to a request that failed."""
+    return lines(b'ERR ' + code + b' ' + text, b'READY ' + state + b' ' + position)
+
+
+def split_lines(stream: bytes) -> tuple[list[bytes], bytes]:
+    """Return the complete lines of a stream, and what follows the last one."""
+    *complete, rest = stream.split(END)
+    return complete, rest
