End lines at CR LF only, so that data with CR or LF arrive unchanged

Callers saw values and rows that had lost CR, texts that were cut at an LF, and members ran the rest of such a text as a statement of its own. LineReader ended a line at each LF and dropped every CR before it, while the protocol ends a line at CR LF and makes all other bytes data.

The reader now searches for both bytes, also across two reads: a search restarts at a CR that was received last, so that its cost stays linear. That CR does not count against the limit until another byte than LF follows. Nothing is dropped, so that a field arrives as it was sent, and only a sender of CR LF can end it.

--- a/godwitthread/platform/line_protocol.py
+++ b/godwitthread/platform/line_protocol.py
@@ -13,6 +13,8 @@
 
 #: Maximum length of a line, in bytes: a message of 1 MiB, with the command and the names before it.
 MAX_LINE_BYTES = (1024 + 16) * 1024
+#: End of a line. CR and LF are data unless they stand together in this order.
+END = b'\r\n'
 #: Maximum number of bytes requested by one socket read.
 READ_BYTES = 16 * 1024
 #: Maximum number of digits; a number then fits in the integers of the messages between instances.
@@ -35,7 +37,7 @@
         self.limit = limit
         #: Called with the number of bytes received of a line whose end has not arrived.
         self.on_partial: Callable[[int], None] | None = None
-        #: Called for each line that holds CR or LF beside its end.
+        #: Called for each line that holds CR or LF as data.
         self.on_control_byte: Callable[[], None] | None = None
         self._sock = sock
         #: Data received and not yet returned.
@@ -65,45 +67,42 @@
         return bool(self._buffer) or not has_no_input(self._sock)
 
     def read(self) -> str | None:
-        """Return the next line without its terminator, or None at the end of the stream."""
+        """Return the next line without its end, or None at the end of the stream."""
         while True:
-            end = self._buffer.find(b'\n', self._searched)
-            length = end if end >= 0 else len(self._buffer)
-            # The carriage return before the end does not count.
-            if length > self.limit + 1:
-                self._buffer.clear()
+            buffer = self._buffer
+            end = buffer.find(END, self._searched)
+            # A CR that was received last may be the first byte of the end.
+            unended = len(buffer) - buffer.endswith(b'\r')
+            if (end if end >= 0 else unended) > self.limit:
+                buffer.clear()
                 raise LineTooLongError
             if end >= 0:
                 return self._take(end)
-            self._searched = len(self._buffer)
-            if self._buffer and self.on_partial is not None:
-                self.on_partial(len(self._buffer))
+            self._searched = unended
+            if buffer and self.on_partial is not None:
+                self.on_partial(len(buffer))
             data = receive(self._sock, READ_BYTES)
             if not data or self._closed:
                 return None
             self._buffer += data
 
     def _take(self, end: int) -> str:
-        buffer, length = self._buffer, end
-        ended_by_lf = not buffer.endswith(b'\r', 0, end)
-        holds_cr = buffer.find(b'\r', 0, end if ended_by_lf else end - 1) >= 0
-        if self.on_control_byte is not None and (ended_by_lf or holds_cr):
+        buffer = self._buffer
+        if self.on_control_byte is not None and (
+            buffer.find(b'\n', 0, end) >= 0 or buffer.find(b'\r', 0, end) >= 0
+        ):
             self.on_control_byte()
-        if not ended_by_lf:
-            length = end - 1
-            if buffer.endswith(b'\r', 0, length):
-                length = len(buffer[:length].rstrip(b'\r'))
         # A view avoids a copy of a long line.
-        with memoryview(buffer) as view, view[:length] as text:
+        with memoryview(buffer) as view, view[:end] as text:
             line = str(text, 'latin-1')
-        del buffer[: end + 1]
+        del buffer[: end + len(END)]
         self._searched = 0
         return line
 
 
 def encode(*lines: str) -> bytes:
     """Encode lines for the wire; latin-1 maps each character to one byte without loss."""
-    return b'\r\n'.join([*(line.encode('latin-1') for line in lines), b''])
+    return END.join([*(line.encode('latin-1') for line in lines), b''])
 
 
 def ready(state: TxState, position: Position | None = None) -> str:
--- a/tests/test_platform/test_line_protocol.py
+++ b/tests/test_platform/test_line_protocol.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from itertools import takewhile
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -9,6 +11,7 @@
 from godwitthread.core.statements import TxState, Verb
 from godwitthread.platform import line_protocol
 from godwitthread.types import Position
+from tests.test_wire import codec
 
 
 class ChunkedSocket:
@@ -21,11 +24,10 @@
         return self._chunks.pop(0) if self._chunks else b''
 
 
-@given(st.lists(st.binary(min_size=1, max_size=12).filter(lambda b: b'\n' not in b)), st.data())
+@given(st.lists(codec.line_texts()), st.data())
 def test_lines_are_reassembled_from_arbitrary_chunks(texts, data):
     """Guard against lines that are merged or truncated at the boundaries of received chunks."""
-    texts = [text.rstrip(b'\r') for text in texts]
-    stream = b''.join(text + b'\r\n' for text in texts)
+    stream = codec.lines(*texts)
     chunks, start = [], 0
     while start < len(stream):
         end = data.draw(st.integers(start + 1, len(stream)))
@@ -114,6 +116,10 @@
     cuts = sorted(data.draw(st.lists(st.integers(0, len(stream)), max_size=20)))
     chunks = [stream[a:b] for a, b in zip([0, *cuts], [*cuts, len(stream)], strict=True)]
     expected = outcome([stream])
+    lines = codec.split_lines(stream)[0]
+    fitting = list(takewhile(lambda line: len(line) <= 30, lines))
+    found = [each[0].encode('latin-1') for each in expected if each != 'too long']
+    assert found == fitting
     assert outcome([each for each in chunks if each]) == expected
     assert outcome([bytes([byte]) for byte in stream]) == expected
 
@@ -132,6 +138,21 @@
     assert sum(searched) == 5_000
 
 
+@pytest.mark.parametrize(
+    ('chunks', 'found'),
+    [
+        ([b'x' * 30 + b'\r', b'\n'], ['x' * 30]),
+        ([b'x' * 29 + b'\r', b'\r', b'\n'], ['x' * 29 + '\r']),
+        ([b'x' * 30 + b'\r', b'x'], ['too long']),
+        ([b'x' * 30 + b'\n', b'\r\n'], ['too long']),
+        ([b'x' * 31], ['too long']),
+    ],
+)
+def test_the_limit_counts_a_line_without_its_end(chunks, found):
+    """Guard against a CR that counts as data although the LF behind it has not arrived."""
+    assert [each if each == 'too long' else each[0] for each in outcome(chunks)] == found
+
+
 def test_the_longest_message_is_read():
     """Guard against refusing a message of 1 MiB with its command and names."""
     line = b'QUERY 1 WRITE item ' + b'x' * 1024 * 1024
--- a/tests/test_wire/codec.py
+++ b/tests/test_wire/codec.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from hypothesis import strategies as st
+
 END = b'\r\n'
 
 
@@ -31,3 +33,10 @@
     """Return the complete lines of a stream, and what follows the last one."""
     *complete, rest = stream.split(END)
     return complete, rest
+
+
+def line_texts(min_size: int = 0, max_size: int = 12) -> st.SearchStrategy[bytes]:
+    """Generate what a line can hold: all bytes, often CR and LF, which stand alone."""
+    often_ends = st.lists(st.sampled_from([b'\r', b'\n', b' ', b'a', b'\0', b'\xff']))
+    texts = st.binary(max_size=max_size) | often_ends.map(b''.join)
+    return texts.filter(lambda text: END not in text and min_size <= len(text) <= max_size)
