Never send a text as more than one line

A text with CR LF, in a row, a receipt or an error message, reached the caller as lines of its own and forged the rest of the answer; a character outside latin-1 ended the session without an answer, and an open transaction with it. The encoder joined lines without a look at their text, and its error was handled nowhere.

encode now raises ValueError for a text that is no single line, before anything is sent. Rows and receipts come from lines, so that such a text is an error and not data: the caller receives INDOUBT, or ABORTED inside a transaction, which is rolled back. Messages may quote anything; one function replaces CR LF by a blank and escapes what latin-1 lacks, so that they stay in their line.

--- a/godwitthread/gateway/session.py
+++ b/godwitthread/gateway/session.py
@@ -37,6 +37,8 @@
 STOPPED_MESSAGE = 'the instance stopped'
 WITHDRAWN_MESSAGE = 'the key was withdrawn; the transaction was rolled back'
 
+WITHHELD_MESSAGE = 'the answer can not be sent'
+
 MEMORY_MESSAGE = 'the instance is short of memory'
 STATE_MESSAGE = 'the values and prepared statements of the session exceed the limit'
 #: Delay after which a statement that was refused for lack of memory may be sent again, in ms.
@@ -210,6 +212,13 @@
             return failure(ErrorKind.SHUTTING_DOWN, CLOSING_MESSAGE, RECONNECT_DELAY_MS)
         return self._fail_in_transaction(failure(ErrorKind.TRANSACTION_LOST, CLOSING_MESSAGE))
 
+    def withhold(self) -> Result:
+        """Return the answer in place of one that can't be sent, although the statement ran."""
+        # Without a COMMIT, no effect of the transaction persists.
+        lost = self.state is TxState.OPEN
+        kind = ErrorKind.TRANSACTION_LOST if lost else ErrorKind.CONNECTION_LOST
+        return self._fail_in_transaction(failure(kind, WITHHELD_MESSAGE))
+
     def shed(self) -> Result:
         """Return the answer to a statement that is not started, since memory is short."""
         if self.state is TxState.IDLE:
--- a/godwitthread/platform/caller_connection.py
+++ b/godwitthread/platform/caller_connection.py
@@ -21,6 +21,7 @@
     LineReader,
     LineTooLongError,
     encode,
+    message_field,
     parse_query,
     ready,
 )
@@ -223,6 +224,14 @@
 
 
 def _encode_answer(session: Session, result: Result) -> bytes:
+    try:
+        return _encode_result(session, result)
+    except ValueError:
+        logger.exception('answer not encoded')
+        return _encode_result(session, session.withhold())
+
+
+def _encode_result(session: Session, result: Result) -> bytes:
     lines = [f'ROW {row}' for row in result.rows]
     lines.append(_format_error(result) if result.error else f'DONE {result.receipt}')
     lines.append(ready(session.state, result.position))
@@ -242,4 +251,4 @@
 def _format_error(result: Result) -> str:
     code = ERROR_CODES.get(ErrorKind(result.error), 'INDOUBT')
     retry_hint = f'; retry after {result.retry_after_ms} ms' if result.retry_after_ms else ''
-    return f'ERR {code} {result.message}{retry_hint}'
+    return f'ERR {code} {message_field(result.message)}{retry_hint}'
--- a/godwitthread/platform/line_protocol.py
+++ b/godwitthread/platform/line_protocol.py
@@ -101,8 +101,18 @@
 
 
 def encode(*lines: str) -> bytes:
-    """Encode lines for the wire; latin-1 maps each character to one byte without loss."""
-    return END.join([*(line.encode('latin-1') for line in lines), b''])
+    """Encode lines for the wire; raise ValueError for a text that is no single line."""
+    # Latin-1 maps each character to one byte without loss.
+    encoded = [line.encode('latin-1') for line in lines]
+    # One byte is found faster than two, and few lines hold an LF.
+    if any(b'\n' in line and END in line for line in encoded):
+        raise ValueError('the text of a line contains CR LF')
+    return END.join([*encoded, b''])
+
+
+def message_field(text: str) -> str:
+    """Return a message without what a line cannot hold."""
+    return text.replace('\r\n', ' ').encode('latin-1', 'backslashreplace').decode('latin-1')
 
 
 def ready(state: TxState, position: Position | None = None) -> str:
