Leave out a configured name that no line can hold, and nothing else

A tenant with a blank in its name stopped every later change of routes, keys and limits, and one with a character outside latin-1 came into force although no member can be told of it: each of its statements ended with an internal error. An empty key admitted all callers that send none. Names were checked, if at all, as if the whole configuration were one part, and keys only for their type.

An entry with such a name, and such a key, is now left out by itself; the rest of the version is in force, and the row is reported as malformed with the places, without a value. The check of a configuration names the same places. Names are compared with what encode accepts, so that START lines of members can always be encoded. Other malformed parts still stop the version as before.

--- a/godwitthread/core/catalog.py
+++ b/godwitthread/core/catalog.py
@@ -58,6 +58,8 @@
     groups: dict[str, Group]
     #: Idle time after which a transaction may be rolled back, in ms.
     tx_idle_ms: int
+    #: Entries and keys that are not in force, and why.
+    left_out: tuple[str, ...] = ()
 
 
 class Member(NamedTuple):
--- a/godwitthread/gateway/store_view.py
+++ b/godwitthread/gateway/store_view.py
@@ -235,6 +235,9 @@
                 revision=row.revision,
                 source=source,
             )
+        if cfg.left_out:
+            reason = f'left out: {"; ".join(cfg.left_out)}'[:MAX_REASON_LENGTH]
+            return {row.key: RowFault(row.revision, reason)}
         return {}
 
     def _decode_members(self, rows: dict[str, StoredRow]) -> dict[str, RowFault]:
--- a/godwitthread/platform/configuration_check.py
+++ b/godwitthread/platform/configuration_check.py
@@ -20,6 +20,8 @@
     MAX_INTEGER,
     MAX_NUMBER,
     decode_configuration,
+    is_field,
+    is_last_field,
 )
 
 if TYPE_CHECKING:
@@ -99,6 +101,10 @@
         if not isinstance(entry.get(field), str) or not entry[field]:
             shown = value_for_report(path, entry.get(field))
             yield ValidationIssue(f'{path}.{field}', shown, 'a non-empty text')
+        elif not is_field(entry[field]):
+            shown = value_for_report(path, entry[field])
+            accepted = 'a text in latin-1 without blanks and control characters'
+            yield ValidationIssue(f'{path}.{field}', shown, accepted)
     for field, minimum, optional in NUMBERS[name]:
         yield from _number(path, entry, field, minimum, optional)
     if name == 'Routes' and entry.get('Kind') not in list(CONSISTENCY):
@@ -107,6 +113,9 @@
     keys = entry.get(KEYS) if name == 'Tenants' else []
     if not isinstance(keys, list) or not all(isinstance(each, str) for each in keys):
         yield ValidationIssue(f'{path}.{KEYS}', '(hidden)', 'a list of texts')
+    elif not all(map(is_last_field, keys)):
+        accepted = 'non-empty texts in latin-1 without CR LF'
+        yield ValidationIssue(f'{path}.{KEYS}', '(hidden)', accepted)
 
 
 def _number(
--- a/godwitthread/platform/row_decoding.py
+++ b/godwitthread/platform/row_decoding.py
@@ -10,9 +10,10 @@
 from godwitthread.core.catalog import Configuration, Group, Member, Organisation, Route
 from godwitthread.core.statements import Consistency
 from godwitthread.gateway.ports import Schema, Undecodable
+from godwitthread.platform.line_protocol import END
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
 #: Upper bound of the numbers of a configuration: rates, limits, and times in ms.
 MAX_NUMBER = 10**12
@@ -31,6 +32,10 @@
 }
 
 
+class UnusableNameError(ValueError):
+    """Raised for a name that no line of the protocol can hold."""
+
+
 def decode_configuration(value: bytes) -> Configuration | Undecodable:
     """Decode the configuration that the operators write."""
     return _decode_json(_configuration, value)
@@ -50,32 +55,53 @@
 
 
 def _configuration(data: dict[str, Any]) -> Configuration:
+    left_out: list[str] = []
     keys: dict[str, Organisation] = {}
-    for tenant in data.get('Tenants', ()):
-        # RatePerS is in operations per second; a transaction counts as one operation.
-        organisation = Organisation(
-            _name(tenant, 'Name'), _number(tenant, 'RatePerS'), _number(tenant, 'Burst')
-        )
+    tenants = _usable('Tenants', data.get('Tenants', ()), _organisation, left_out)
+    for index, tenant, organisation in tenants:
         if not all(isinstance(key, str) for key in tenant['ApiKeys']):
             raise TypeError('ApiKeys has a value that is not a text')
-        keys.update(dict.fromkeys(tenant['ApiKeys'], organisation))
-    routes = {route['Host']: _route(route) for route in data['Routes']}
-    groups = {
-        service['Name']: Group(
-            _name(service, 'Name'),
-            int(_number(service, 'MaxConns')),
-            _number(service, 'ColdPerS', default=0),
-            # SyncReplicas is the number of replicas that must confirm a commit.
-            synchronous=_number(service, 'SyncReplicas', default=0) > 0,
-        )
-        for service in data['Services']
-    }
+        usable = [key for key in tenant['ApiKeys'] if is_last_field(key)]
+        if len(usable) < len(tenant['ApiKeys']):
+            left_out.append(f'Tenants[{index}]: a key is empty or no field of a line')
+        keys.update(dict.fromkeys(usable, organisation))
+    routes = _usable('Routes', data['Routes'], _route, left_out)
+    groups = _usable('Services', data['Services'], _group, left_out)
     return Configuration(
         int(_number(data, 'Version', MAX_INTEGER)),
-        routes,
+        {route.database: route for _, _, route in routes},
         keys,
-        groups,
+        {group.name: group for _, _, group in groups},
         int(_number(data['Limits'], 'TxIdleMs')),
+        tuple(left_out),
+    )
+
+
+def _usable(
+    field: str, entries: Any, decode: Callable[[dict[str, Any]], Any], left_out: list[str]
+) -> Iterator[tuple[int, dict[str, Any], Any]]:
+    """Yield the decoded entries of a list, and note those with a name that no line can hold."""
+    for index, entry in enumerate(entries):
+        try:
+            yield index, entry, decode(entry)
+        except UnusableNameError as exc:
+            left_out.append(f'{field}[{index}]: {exc}')
+
+
+def _organisation(tenant: dict[str, Any]) -> Organisation:
+    # RatePerS is in operations per second; a transaction counts as one operation.
+    return Organisation(
+        _name(tenant, 'Name'), _number(tenant, 'RatePerS'), _number(tenant, 'Burst')
+    )
+
+
+def _group(service: dict[str, Any]) -> Group:
+    return Group(
+        _name(service, 'Name'),
+        int(_number(service, 'MaxConns')),
+        _number(service, 'ColdPerS', default=0),
+        # SyncReplicas is the number of replicas that must confirm a commit.
+        synchronous=_number(service, 'SyncReplicas', default=0) > 0,
     )
 
 
@@ -108,10 +134,8 @@
         raise TypeError('Slots or born is not an integer')
     if not isinstance(data['Zone'], str):
         raise TypeError('Zone is not a text')
-    # Connections to the member name its id in latin-1.
-    _name({'id': member_id}, 'id').encode('latin-1')
     return Member(
-        id=member_id,
+        id=_name({'id': member_id}, 'id'),
         group=_name(data, 'Service'),
         address=parse_address(data['Addr']),
         failure_domain=data['Zone'],
@@ -149,12 +173,25 @@
 def _name(data: dict[str, Any], field: str) -> str:
     """Return a text that can be a field of a line; raise KeyError or ValueError."""
     value = data[field]
-    if not isinstance(value, str) or not value:
-        raise ValueError(f'{field} is not a text, or empty')
-    if not value.isprintable() or ' ' in value:
-        raise ValueError(f'{field} has blanks or control characters')
+    if not isinstance(value, str):
+        raise ValueError(f'{field} is not a text')
+    if not is_field(value):
+        raise UnusableNameError(f'{field} is empty or no field of a line')
     return value
 
 
+def is_field(text: str) -> bool:
+    """Return whether a text can be a field of a line, at any place."""
+    return is_last_field(text) and text.isprintable() and ' ' not in text
+
+
+def is_last_field(text: str) -> bool:
+    """Return whether a text can be the last field of a line and is not empty."""
+    try:
+        return bool(text) and END not in text.encode('latin-1')
+    except UnicodeEncodeError:
+        return False
+
+
 #: Tables and keys defined by the platform: operators write `op`, members write `servers`.
 SCHEMA = Schema('op', 'servers', 'config', 'evacuate/', decode_configuration, decode_member)
--- a/tests/test_gateway/test_store_view.py
+++ b/tests/test_gateway/test_store_view.py
@@ -371,3 +371,18 @@
     view.apply_changes(PEER_TABLE, rows(('i7', changed), revision=4))
     assert view.peers['i7'].incarnation == 6
     assert store_view.decode_peer.cache_info().misses == misses + 1
+
+
+def test_an_entry_that_is_left_out_is_reported_and_the_others_are_in_force():
+    """Guard against a part of the configuration that is not in force without a report."""
+    events = event_log()
+    view, _ = make(events)
+    left_out = ('Tenants[1]: Name is empty',)
+    view._schema = SCHEMA._replace(
+        configuration=lambda value: configuration(int(value))._replace(left_out=left_out)
+    )
+    view.replace('op', StoredRows((StoredRow('config', b'4', 7),), 7))
+    assert view.configuration is not None
+    assert (view.configuration.version, view.malformed_rows('op')) == (4, 1)
+    reasons = [each['reason'] for each in events.since() if each['event'] == 'row_undecodable']
+    assert reasons == ['left out: Tenants[1]: Name is empty']
--- a/tests/test_platform/test_configuration_check.py
+++ b/tests/test_platform/test_configuration_check.py
@@ -53,6 +53,9 @@
         ('Routes', GOOD['Routes'] * 2, '$.Routes[1].Host'),
         ('Tenants.0.ApiKeys', ['s3cret-a'] * 2, '$.Tenants[0].ApiKeys[1]'),
         ('Tenants.0.ApiKeys', [], '$.Tenants[0].ApiKeys'),
+        ('Tenants.0.ApiKeys', ['s3cret-a', ''], '$.Tenants[0].ApiKeys'),
+        ('Tenants.0.Name', 'a b', '$.Tenants[0].Name'),
+        ('Services.0.Name', '\u2603', '$.Services[0].Name'),
         ('Routes.0.LatencyGoalMs', 1_507, '$.Routes[0].LatencyGoalMs'),
         ('Routes.0.MaxStalenessMs', 0, '$.Routes[0].MaxStalenessMs'),
         ('Tenants.0.Burst', 0, '$.Tenants[0].Burst'),
@@ -69,9 +72,10 @@
     """Guard against a check that accepts more than the instances do."""
     assert check(GOOD) == []
     for path in ('Version', 'Routes.0.Host', 'Services.0.MaxConns', 'Tenants.0.Name', 'Limits'):
-        for value in (None, [], {}, 'NaN', -1, 10**17):
+        for value in (None, [], {}, 'NaN', -1, 10**17, '', 'a b', '\u2603'):
             made = changed(path, value)
-            if isinstance(decode_configuration(json.dumps(made).encode()), Undecodable):
+            cfg = decode_configuration(json.dumps(made).encode())
+            if isinstance(cfg, Undecodable) or cfg.left_out:
                 assert check(made) != []
 
 
--- a/tests/test_platform/test_row_decoding.py
+++ b/tests/test_platform/test_row_decoding.py
@@ -126,9 +126,44 @@
         assert all(0 <= number <= row_decoding.MAX_INTEGER for number in numbers)
 
 
+@pytest.mark.parametrize('name', ['', 'a b', 'a\r\nBYE', '\u2603', '\xa0'])
+def test_an_entry_with_a_name_that_no_line_can_hold_is_left_out_alone(name):
+    """Guard against one name that stops all changes, or that no member can be told."""
+    made = json.loads(json.dumps(CONFIGURATION))
+    made['Tenants'] += [made['Tenants'][0] | {'Name': name, 'ApiKeys': ['k3']}]
+    made['Routes'] += [made['Routes'][0] | each for each in ({'Host': name}, {'Service': name})]
+    made['Services'] += [{'Name': name, 'MaxConns': 1}]
+    cfg = row_decoding.decode_configuration(json.dumps(made).encode())
+    assert not isinstance(cfg, Undecodable)
+    assert (set(cfg.routes), set(cfg.groups)) == ({'db1', 'db2'}, {'g'})
+    assert cfg.routes['db1'].group == 'g'
+    assert set(cfg.keys) == {'k1', 'k2'}
+    places = [each.partition(':')[0] for each in cfg.left_out]
+    assert places == ['Tenants[1]', 'Routes[2]', 'Routes[3]', 'Services[1]']
+
+
+def test_a_key_that_no_caller_can_send_is_left_out_alone():
+    """Guard against an empty key, with which callers without a key are admitted."""
+    made = json.loads(json.dumps(CONFIGURATION))
+    made['Tenants'][0]['ApiKeys'] += ['', 'a\r\nb', '\u2603']
+    cfg = row_decoding.decode_configuration(json.dumps(made).encode())
+    assert not isinstance(cfg, Undecodable)
+    assert set(cfg.keys) == {'k1', 'k2'}
+    assert [each.partition(':')[0] for each in cfg.left_out] == ['Tenants[0]']
+
+
 def test_the_reason_of_a_malformed_configuration_quotes_no_value():
     """Guard against keys in the log: a malformed configuration may have them in any place."""
-    for value in ('"the-key"', '["the-key"]', '{"the-key": 1}', '"the-key'):
+    texts = (
+        '"the-key"',
+        '"the-key b"',
+        '["the-key"]',
+        '["", "the-key"]',
+        '{"the-key": 1}',
+        '"the-key',
+    )
+    for value in texts:
         for document in malformed.documents_with(CONFIGURATION, (value,)):
             cfg = row_decoding.decode_configuration(document)
-            assert not isinstance(cfg, Undecodable) or 'the-key' not in cfg.reason
+            shown = cfg.reason if isinstance(cfg, Undecodable) else str(cfg.left_out)
+            assert 'the-key' not in shown
