Pass the arguments of an execution to its owner once

An EXEC of 1 MiB with bytes from 128 on was refused with TOOBIG, or ran, depending on whether the instance that the caller had reached owned the group. The request held the text of the statement and its arguments, each with two bytes for such a character, and so exceeded the 4 MiB of a frame.

The owner runs a prepared statement by its own name for it and the arguments, so that the text is left empty. The memory that an owner reserves counted the text alone; it counts the arguments as well. A request that is still too large, with 1 MiB and more than 0.95 MiB of session state of such characters, is refused alone and as not run, as before.

test_the_largest_execution_fits_in_a_frame failed before with "5242969 <= 4194304", and the new case of test_an_owner_counts_the_session_state_that_a_statement_carries with "0 > (4 * 1048576)".

--- a/godwitthread/gateway/caller_guard.py
+++ b/godwitthread/gateway/caller_guard.py
@@ -141,7 +141,8 @@
         """
         if req.action in (Action.COMMIT, Action.ROLLBACK):
             return 0
-        size = len(req.text) + sum(len(name) + len(value) for name, value in req.values)
+        size = len(req.text) + len(req.arguments)
+        size += sum(len(name) + len(value) for name, value in req.values)
         if req.prepared is not None:
             size += len(req.prepared.shape)
         if size <= SMALL_BYTES and not (req.first and self.budget.links_are_full):
--- a/godwitthread/gateway/session.py
+++ b/godwitthread/gateway/session.py
@@ -333,7 +333,9 @@
             group=route.group,
             organisation=self._organisation,
             statement_id=statement.id,
-            text=statement.text,
+            # A prepared statement runs by its name at the member and its arguments; with its text,
+            # the request would hold them twice.
+            text='' if prepared else statement.text,
             writes=writes,
             first=first,
             read_only=self._read_only,
--- a/tests/test_misbehaving/test_limits.py
+++ b/tests/test_misbehaving/test_limits.py
@@ -228,6 +228,7 @@
         {'prepared': Prepared(True, 'x' * MIB)},
         {'values': (('x' * MIB, 'y'),)},
         {'values': (('x', 'y' * MIB),)},
+        {'arguments': 'x' * MIB},
     ],
 )
 def test_an_owner_counts_the_session_state_that_a_statement_carries(state):
