Take the last field of READ and DEALLOC as a whole

DEALLOC with a blank in its name removed another statement of the session, the one named by the first word, and READ refused an item that begins or ends with a blank. The parser split both texts into two fields, although they have one. COMMIT and BEGIN were accepted with a blank at the end, and COMMIT sent it to the member.

The parser now has one function for each number of fields: the last one is all that follows. A text of no exact form is refused as malformed, so that nothing runs under another text than was sent.

Four cases of test_line_protocol.py failed before, for example "('s1', 'x', False) == ('s1 x', '', False)" and "Statement(... text='COMMIT ' ...) is None". With the change, tests/test_wire, test_line_protocol.py and test_bad_input.py: 96 passed, 3 expected failures of another cause.

--- a/godwitthread/platform/line_protocol.py
+++ b/godwitthread/platform/line_protocol.py
@@ -148,24 +148,32 @@
 
 
 def _parse_begin(statement_id: str, text: str, arguments: str) -> Statement | None:
-    if arguments not in ('', 'READ'):
+    if text not in ('BEGIN', 'BEGIN READ'):
         return None
     return Statement(statement_id, Verb.BEGIN, text, read_only=arguments == 'READ')
 
 
-def _parser_without_arguments(verb: Verb) -> Any:
+def _parser_without_fields(verb: Verb) -> Any:
     def parse(statement_id: str, text: str, arguments: str) -> Statement | None:
-        return None if arguments else Statement(statement_id, verb, text)
+        # A blank at the end would reach the member with the text.
+        return None if ' ' in text else Statement(statement_id, verb, text)
 
     return parse
 
 
-def _parser_with_arguments(verb: Verb, minimum: int) -> Any:
+def _parser_of_one_field(verb: Verb) -> Any:
     def parse(statement_id: str, text: str, arguments: str) -> Statement | None:
-        parts = arguments.split(' ', 1)
-        if len(parts) < minimum or not all(parts):
+        return Statement(statement_id, verb, text, arguments) if arguments else None
+
+    return parse
+
+
+def _parser_of_two_fields(verb: Verb) -> Any:
+    def parse(statement_id: str, text: str, arguments: str) -> Statement | None:
+        name, _, argument = arguments.partition(' ')
+        if not name or not argument:
             return None
-        return Statement(statement_id, verb, text, parts[0], parts[1] if len(parts) > 1 else '')
+        return Statement(statement_id, verb, text, name, argument)
 
     return parse
 
@@ -180,12 +188,12 @@
 
 _PARSERS: dict[str, Any] = {
     'BEGIN': _parse_begin,
-    'COMMIT': _parser_without_arguments(Verb.COMMIT),
-    'ROLLBACK': _parser_without_arguments(Verb.ROLLBACK),
-    'READ': _parser_with_arguments(Verb.READ, 1),
-    'WRITE': _parser_with_arguments(Verb.WRITE, 2),
-    'SET': _parser_with_arguments(Verb.SET, 2),
+    'COMMIT': _parser_without_fields(Verb.COMMIT),
+    'ROLLBACK': _parser_without_fields(Verb.ROLLBACK),
+    'READ': _parser_of_one_field(Verb.READ),
+    'WRITE': _parser_of_two_fields(Verb.WRITE),
+    'SET': _parser_of_two_fields(Verb.SET),
     'PREPARE': _parse_prepare,
-    'EXEC': _parser_with_arguments(Verb.EXECUTE, 2),
-    'DEALLOC': _parser_with_arguments(Verb.DEALLOCATE, 1),
+    'EXEC': _parser_of_two_fields(Verb.EXECUTE),
+    'DEALLOC': _parser_of_one_field(Verb.DEALLOCATE),
 }
--- a/tests/test_platform/test_line_protocol.py
+++ b/tests/test_platform/test_line_protocol.py
@@ -53,12 +53,14 @@
         ('COMMIT', Verb.COMMIT, '', '', False),
         ('ROLLBACK', Verb.ROLLBACK, '', '', False),
         ('READ 1a4', Verb.READ, '1a4', '', False),
+        ('READ  1 a ', Verb.READ, ' 1 a ', '', False),
         ('WRITE 1a4 a b c', Verb.WRITE, '1a4', 'a b c', False),
         ('SET lang nb no', Verb.SET, 'lang', 'nb no', False),
         ('PREPARE s1 WRITE q2c', Verb.PREPARE, 's1', 'q2c', False),
         ('PREPARE s1 READ q2c', Verb.PREPARE, 's1', 'q2c', True),
         ('EXEC s1 1a4 xkq', Verb.EXECUTE, 's1', '1a4 xkq', False),
         ('DEALLOC s1', Verb.DEALLOCATE, 's1', '', False),
+        ('DEALLOC s1 x', Verb.DEALLOCATE, 's1 x', '', False),
     ],
 )
 def test_statements_are_parsed(text, verb, name, argument, read_only):
@@ -72,6 +74,7 @@
 @pytest.mark.parametrize(
     'text',
     ['', '5c0e', '5c0e NONSENSE', '5c0e AFTER 3.1 READ a', '5c0e BEGIN WRITE', '5c0e COMMIT now',
+     '5c0e COMMIT ', '5c0e BEGIN ', '5c0e BEGIN  READ', '5c0e READ ', '5c0e WRITE a ',
      '5c0e SET lang', '5c0e PREPARE s1 DROP q', '5c0e WRITE item', '5c0e STATUS', '5c0e RESET'],
 )  # fmt: skip
 def test_invalid_or_internal_statements_are_rejected(text):
