Answer an error of a kind that this build does not know

Kinds are now looked up by their name in the table of codes, and an unknown one is INDOUBT, which promises nothing.

test_an_error_of_a_later_build_has_an_unknown_outcome failed before: "b'ERR INDOUBT the answer can not be sent' != b'ERR INDOUBT m'"; passes after.

--- a/godwitthread/platform/caller_connection.py
+++ b/godwitthread/platform/caller_connection.py
@@ -67,6 +67,7 @@
     ErrorKind.CONNECTION_LOST: 'INDOUBT',
     ErrorKind.COMMIT_UNKNOWN: 'INDOUBT',
 }
+_CODES_BY_NAME = {kind.value: code for kind, code in ERROR_CODES.items()}
 
 
 def serve(
@@ -249,6 +250,7 @@
 
 
 def _format_error(result: Result) -> str:
-    code = ERROR_CODES.get(ErrorKind(result.error), 'INDOUBT')
+    # An owner of a later build may report a kind that is unknown here.
+    code = _CODES_BY_NAME.get(result.error, 'INDOUBT')
     retry_hint = f'; retry after {result.retry_after_ms} ms' if result.retry_after_ms else ''
     return f'ERR {code} {message_field(result.message)}{retry_hint}'
--- a/tests/test_wire/test_encoding.py
+++ b/tests/test_wire/test_encoding.py
@@ -59,3 +59,10 @@
     failed = failure(ErrorKind.STATEMENT_FAILED, message)
     lines = converse(lambda _: failed, codec.lines(b'QUERY 1 READ a'))
     assert lines == [b'ERR FAILED ' + sent, b'READY I -']
+
+
+def test_an_error_of_a_later_build_has_an_unknown_outcome():
+    """Guard against a session that ends without an answer during an update."""
+    unknown = Result(error='kind_of_a_later_build', message='m')
+    lines = converse(lambda _: unknown, codec.lines(b'QUERY 1 WRITE a x', b'QUERY 2 SET v x'))
+    assert lines == [b'ERR INDOUBT m', b'READY I -', b'DONE -', b'READY I -']
