Number the names of prepared statements instead of hashing their shapes

Callers could make a statement run a shape that another session of the same organisation had prepared. The name on a shared connection was the 64-bit xxHash of the shape, without a key, and such hashes are easily made to collide: two printable shapes of 59 characters with the same name were computed in seconds from the published constants. The second one was taken for prepared, and EXEC ran the first.

The names are numbers now, from a table of the process that compares shapes in full. A number is never given to a second shape. The table is bounded by entries and by characters; a shape that was dropped from it gets a new number and is prepared again.

The test failed before: the member ran the shape 'abc7hk...' for the shape 'abcn5l...'. It passes now.

--- a/godwitthread/gateway/groups/session_state.py
+++ b/godwitthread/gateway/groups/session_state.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+import itertools
+from collections import OrderedDict
 from typing import TYPE_CHECKING
 
-import xxhash
-
 if TYPE_CHECKING:
     from godwitthread.core.statements import Prepared, RunRequest
     from godwitthread.gateway.ports import Connection
 
+#: Maximum number of shapes whose names are remembered, and their total size in characters.
+MAX_NAMES = 4_096
+MAX_NAMES_SIZE = 16 * 1024 * 1024
+
 
 def apply_session_state(conn: Connection, req: RunRequest, left_ms: int) -> bool:
     """Set the values and prepared statements of the session on a connection."""
@@ -34,4 +38,35 @@
 
 def prepared_name(prepared: Prepared) -> str:
     """Return the name of a prepared statement, the same for all sessions that share its text."""
-    return f'g{xxhash.xxh64_hexdigest(f"{prepared.read_only}{prepared.shape}".encode())}'
+    return _names.name_of(prepared)
+
+
+class PreparedNames:
+    """Numbered names of prepared statements; a name never stands for a second shape.
+
+    A name derived from a hash could stand for two shapes that a caller chose for that.
+    """
+
+    def __init__(self, limit: int = MAX_NAMES, limit_size: int = MAX_NAMES_SIZE) -> None:
+        self._limit = limit
+        self._limit_size = limit_size
+        #: Names by shape, the least recently used first.
+        self._names: OrderedDict[Prepared, str] = OrderedDict()
+        self._size = 0
+        self._numbers = itertools.count(1)
+
+    def name_of(self, prepared: Prepared) -> str:
+        """Return the name of a shape; a shape that was forgotten gets a new one."""
+        name = self._names.get(prepared)
+        if name is not None:
+            self._names.move_to_end(prepared)
+            return name
+        name = self._names[prepared] = f'g{next(self._numbers)}'
+        self._size += len(prepared.shape)
+        while len(self._names) > self._limit or self._size > self._limit_size:
+            forgotten, _ = self._names.popitem(last=False)
+            self._size -= len(forgotten.shape)
+        return name
+
+
+_names = PreparedNames()
--- /dev/null
+++ b/tests/test_gateway/test_session_state.py
@@ -0,0 +1,73 @@
+"""Session values and prepared statements on connections that several sessions share."""
+
+from __future__ import annotations
+
+from godwitthread.core.statements import Prepared
+from godwitthread.gateway.groups.session_state import (
+    PreparedNames,
+    apply_session_state,
+    prepared_name,
+)
+from tests.test_gateway.fakes import FakeConnection, FakeGroup, request
+
+#: Two shapes with the same 64-bit xxHash; anyone can compute more of them.
+COLLIDING_SHAPES = (
+    'abc7hkkeutkxxxxxxxxxxxxxxxxxxxxxxxxzoovr36txxxxxxxxxxxxxxxx',
+    r'abcn5l9pg0exxxxxxxxxxxxxxxxxxxxxxxx^\xrY-mZxxxxxxxxxxxxxxxx',
+)
+
+
+class MemberState(FakeConnection):
+    """Connection that records the state that its member keeps for it."""
+
+    def __init__(self) -> None:
+        super().__init__(FakeGroup(), 'm0', 'drivers')
+        self.set_there: dict[str, str] = {}
+        self.prepared_there: dict[str, Prepared] = {}
+        #: Outcome of the next requests: False for an error, an exception to be raised.
+        self.script: list = []
+
+    def reset(self, timeout_ms):
+        self.set_there.clear()
+        self.prepared_there.clear()
+        return self._outcome()
+
+    def set_value(self, name, value, timeout_ms):
+        self.set_there[name] = value
+        return self._outcome()
+
+    def prepare(self, name, prepared, timeout_ms):
+        self.prepared_there[name] = prepared
+        return self._outcome()
+
+    def _outcome(self):
+        outcome = self.script.pop(0) if self.script else True
+        if isinstance(outcome, BaseException):
+            raise outcome
+        return outcome
+
+
+def run(conn: MemberState, shape: str, values=()) -> Prepared | None:
+    """Prepare a shape on a connection and return the one that the member then runs."""
+    prepared = Prepared(False, shape)
+    assert apply_session_state(conn, request('EXEC', values=values, prepared=prepared), 100)
+    return conn.prepared_there.get(prepared_name(prepared))
+
+
+def test_shapes_with_the_same_hash_have_different_names():
+    """Guard against a statement that runs the shape of another session (PINNED)."""
+    conn = MemberState()
+    for shape in COLLIDING_SHAPES:
+        assert run(conn, shape) == Prepared(False, shape)
+
+
+def test_a_name_that_was_forgotten_is_not_given_again():
+    """Guard against names that stand for another shape once the table is full (PINNED)."""
+    names = PreparedNames(limit=2, limit_size=10)
+    first = [names.name_of(Prepared(True, shape)) for shape in 'abcab']
+    assert first[:3] == ['g1', 'g2', 'g3'] and not {'g1', 'g2', 'g3'} & set(first[3:])
+    assert names.name_of(Prepared(True, 'b')) == first[4]
+    assert names.name_of(Prepared(False, 'b')) != first[4]
+    large = names.name_of(Prepared(True, 'x' * 9))
+    assert names.name_of(Prepared(True, 'x' * 9)) == large
+    assert names.name_of(Prepared(True, 'b')) != first[4]
