Limit the statements that stay prepared on one connection

A pooled connection kept the shapes of all sessions that had ever used it, at the member and in the instance, since only a RESET for session values dropped them. Memory grew with the shapes that callers chose, and nothing bounded it.

A connection that has 256 prepared statements is reset before the next shape is prepared; values and shape are then set as on a new connection.

The test failed before: 257 names were kept for the 257th shape where 256 are allowed. It passes now, and checks that the values of the session are set again after the reset.

--- a/godwitthread/gateway/groups/session_state.py
+++ b/godwitthread/gateway/groups/session_state.py
@@ -10,6 +10,8 @@
     from godwitthread.core.statements import Prepared, RunRequest
     from godwitthread.gateway.ports import Connection
 
+#: Maximum number of statements that stay prepared on one connection.
+MAX_PREPARED = 256
 #: Maximum number of shapes whose names are remembered, and their total size in characters.
 MAX_NAMES = 4_096
 MAX_NAMES_SIZE = 16 * 1024 * 1024
@@ -18,21 +20,21 @@
 def apply_session_state(conn: Connection, req: RunRequest, left_ms: int) -> bool:
     """Set the values and prepared statements of the session on a connection."""
     values = dict(req.values)
-    if conn.values.keys() - values.keys():
+    name = prepared_name(req.prepared) if req.prepared is not None else ''
+    crowded = len(conn.prepared) >= MAX_PREPARED and name and name not in conn.prepared
+    if crowded or conn.values.keys() - values.keys():
         if not conn.reset(left_ms):
             return False
         conn.values, conn.prepared = {}, set()
-    for name, value in values.items():
-        if conn.values.get(name) != value:
-            if not conn.set_value(name, value, left_ms):
+    for variable, value in values.items():
+        if conn.values.get(variable) != value:
+            if not conn.set_value(variable, value, left_ms):
                 return False
-            conn.values[name] = value
-    if req.prepared is not None:
-        name = prepared_name(req.prepared)
-        if name not in conn.prepared:
-            if not conn.prepare(name, req.prepared, left_ms):
-                return False
-            conn.prepared.add(name)
+            conn.values[variable] = value
+    if req.prepared is not None and name not in conn.prepared:
+        if not conn.prepare(name, req.prepared, left_ms):
+            return False
+        conn.prepared.add(name)
     return True
 
 
--- a/tests/test_gateway/test_session_state.py
+++ b/tests/test_gateway/test_session_state.py
@@ -4,6 +4,7 @@
 
 from godwitthread.core.statements import Prepared
 from godwitthread.gateway.groups.session_state import (
+    MAX_PREPARED,
     PreparedNames,
     apply_session_state,
     prepared_name,
@@ -61,6 +62,15 @@
         assert run(conn, shape) == Prepared(False, shape)
 
 
+def test_the_statements_that_stay_prepared_on_a_connection_are_limited():
+    """Guard against members and instances that keep the shapes of all former sessions."""
+    conn, values = MemberState(), (('v', '1'),)
+    for number in range(2 * MAX_PREPARED + 1):
+        assert run(conn, f'q{number}', values) == Prepared(False, f'q{number}')
+        assert conn.set_there == conn.values == {'v': '1'}
+        assert len(conn.prepared_there) == len(conn.prepared) <= MAX_PREPARED
+
+
 def test_a_name_that_was_forgotten_is_not_given_again():
     """Guard against names that stand for another shape once the table is full (PINNED)."""
     names = PreparedNames(limit=2, limit_size=10)
