Close a connection whose session state could not be set

A statement could run under values that the instance only believed. Where a RESET, SET or PREPARE failed, apply_session_state returned False and left it to its caller to close the connection, and where one was interrupted, by a time-out of eventlet or the end of the green thread, nobody did: both are BaseException, and the guards of the runners catch Exception. The member may have carried out the request, so that the values on both sides differ from then on.

apply_session_state now closes the connection itself unless everything was set. Values and names are still recorded only after the member has confirmed them.

The test failed before in all 12 cases (4 requests, each with an error, a time-out and the end of the thread): the connection was left open. A second test finds that sessions without values, with fewer, in another order or with values that differ in one byte get exactly their own; it passed before.

--- a/godwitthread/gateway/groups/session_state.py
+++ b/godwitthread/gateway/groups/session_state.py
@@ -18,24 +18,15 @@
 
 
 def apply_session_state(conn: Connection, req: RunRequest, left_ms: int) -> bool:
-    """Set the values and prepared statements of the session on a connection."""
-    values = dict(req.values)
-    name = prepared_name(req.prepared) if req.prepared is not None else ''
-    crowded = len(conn.prepared) >= MAX_PREPARED and name and name not in conn.prepared
-    if crowded or conn.values.keys() - values.keys():
-        if not conn.reset(left_ms):
-            return False
-        conn.values, conn.prepared = {}, set()
-    for variable, value in values.items():
-        if conn.values.get(variable) != value:
-            if not conn.set_value(variable, value, left_ms):
-                return False
-            conn.values[variable] = value
-    if req.prepared is not None and name not in conn.prepared:
-        if not conn.prepare(name, req.prepared, left_ms):
-            return False
-        conn.prepared.add(name)
-    return True
+    """Set the values and prepared statements of the session; on failure close the connection."""
+    applied = False
+    try:
+        applied = _apply(conn, req, left_ms)
+    finally:
+        if not applied:
+            # A request without an answer may have had its effect at the member.
+            conn.close()
+    return applied
 
 
 def prepared_name(prepared: Prepared) -> str:
@@ -71,4 +62,24 @@
         return name
 
 
+def _apply(conn: Connection, req: RunRequest, left_ms: int) -> bool:
+    values = dict(req.values)
+    name = prepared_name(req.prepared) if req.prepared is not None else ''
+    crowded = len(conn.prepared) >= MAX_PREPARED and name and name not in conn.prepared
+    if crowded or conn.values.keys() - values.keys():
+        if not conn.reset(left_ms):
+            return False
+        conn.values, conn.prepared = {}, set()
+    for variable, value in values.items():
+        if conn.values.get(variable) != value:
+            if not conn.set_value(variable, value, left_ms):
+                return False
+            conn.values[variable] = value
+    if req.prepared is not None and name not in conn.prepared:
+        if not conn.prepare(name, req.prepared, left_ms):
+            return False
+        conn.prepared.add(name)
+    return True
+
+
 _names = PreparedNames()
--- a/tests/test_gateway/test_session_state.py
+++ b/tests/test_gateway/test_session_state.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import eventlet
+import pytest
+
 from godwitthread.core.statements import Prepared
 from godwitthread.gateway.groups.session_state import (
     MAX_PREPARED,
@@ -71,6 +74,32 @@
         assert len(conn.prepared_there) == len(conn.prepared) <= MAX_PREPARED
 
 
+@pytest.mark.parametrize('outcome', [False, eventlet.Timeout(), eventlet.greenlet.GreenletExit()])
+@pytest.mark.parametrize('failing', range(4))
+def test_a_connection_whose_state_is_not_known_is_closed(failing, outcome):
+    """Guard against values and shapes that a member has set, or not, without an answer (PINNED)."""
+    conn = MemberState()
+    run(conn, 'former', [('old', '1')])
+    conn.script = [True] * failing + [outcome]
+    prepared = Prepared(False, 'new')
+    req = request('EXEC', values=(('a', '1'), ('b', '2')), prepared=prepared)
+    try:
+        assert not apply_session_state(conn, req, 100)
+    except BaseException as exc:
+        assert exc is outcome
+    assert conn.closed
+
+
+def test_a_session_finds_exactly_its_values():
+    """Guard against values of another session, in part or in another order (PINNED)."""
+    conn = MemberState()
+    for values in ('ab', 'a', '', 'ba', 'aB'), ('x', 'x\r', 'x\n', 'x ', '\x00x'):
+        for text in values:
+            pairs = [(name, text) for name in text if name.isalpha()]
+            run(conn, 'q', pairs)
+            assert conn.set_there == conn.values == dict(pairs)
+
+
 def test_a_name_that_was_forgotten_is_not_given_again():
     """Guard against names that stand for another shape once the table is full (PINNED)."""
     names = PreparedNames(limit=2, limit_size=10)
