Report answers of peers that reach no call, and end a link that mixes up its calls

An answer with the id of an open call reached it whatever its kind, so that a peer that confused two calls could have its answer decoded as the result of another one.

The ids of the calls to a peer are kept by core/call_answers.py, which knows of each answer whether it is awaited, that to a message sent one way, late, repeated, to an id never sent, or of another kind than the call. The last four are counted (godwitthread_stray_peer_answers, by reason) and logged (event 115 with the peer, the kind of the call and the reason). After an answer of another kind the link ends, and its calls fail as unknown. Ids are not used again when the connection is opened anew, as before; the link of a new process has a connection of its own, on which alone it is answered.

The tests failed before: no answer was reported (assert [] == [...]), and the call of the second test returned the answer of another kind (DID NOT RAISE). They pass now.

--- a/godwitthread/events.py
+++ b/godwitthread/events.py
@@ -74,6 +74,9 @@
         _event_type(107, 'peer_suspected', 'peer instance suspected', logging.WARNING),
         _event_type(111, 'peer_reached', 'peer instance reachable'),
         _event_type(112, 'peer_lost', 'peer instance unreachable', logging.WARNING),
+        _event_type(
+            115, 'peer_answer_stray', 'answer of a peer to a call without waiter', logging.WARNING
+        ),
         _event_type(113, 'instance_registered', 'instance registered in the store'),
         _event_type(114, 'settings_changed', 'settings file reloaded'),
         _event_type(108, 'roster_changed', 'roster changed'),
--- a/godwitthread/gateway/links.py
+++ b/godwitthread/gateway/links.py
@@ -7,12 +7,12 @@
 
 from __future__ import annotations
 
-import itertools
 import logging
 from typing import TYPE_CHECKING, Any
 
 import msgspec
 
+from godwitthread.core.call_answers import STRAY_ANSWERS, Answer, CallAnswers
 from godwitthread.core.departure import Departure
 from godwitthread.core.ownership import PEER_TIMEOUT_MS, PeerReachability
 from godwitthread.core.table_freshness import TableReports
@@ -66,6 +66,7 @@
         heartbeat_status: Callable[[], HeartbeatStatus],
         on_change: Callable[[str, bool], None],
         on_reports: Callable[[str, TableReports], None] = lambda *_: None,
+        on_stray: Callable[[str, str, Answer], None] = lambda *_: None,
     ) -> None:
         self.peer = peer
         self._own = own
@@ -73,7 +74,9 @@
         self._heartbeat_status = heartbeat_status
         self._on_change = on_change
         self._on_reports = on_reports
-        self._ids = itertools.count(1)
+        #: Called with the peer, the kind and the reason of an answer that reaches no call.
+        self._on_stray = on_stray
+        self._calls = CallAnswers()
         self._waiting: dict[int, eventlet.event.Event] = {}
         self._stream: FrameStream | None = None
         self._heard_ms = 0
@@ -129,9 +132,10 @@
         stream = self._stream
         if stream is None or not self.up:
             raise ProxyError(ErrorKind.BACKEND_UNAVAILABLE, f'no link to {self.peer.name}')
-        call_id = next(self._ids)
+        call_id = self._calls.open(kind)
         data = frames.encoder.encode((call_id, kind, body))
         if len(data) > MAX_FRAME_BYTES:
+            self._calls.give_up(call_id)
             # The receiver would end the link, and all calls on it would fail. Text has up to twice
             # its size in a frame, since each character from 128 on takes two bytes there.
             raise ProxyError(
@@ -150,6 +154,7 @@
                 return frame.body
         finally:
             del self._waiting[call_id]
+            self._calls.give_up(call_id)
             if self._retired and not self._waiting:
                 self.stop()
         raise ProxyError(ErrorKind.DEADLINE_EXCEEDED_AFTER_SEND, f'no answer from {self.peer.name}')
@@ -157,7 +162,7 @@
     def send_oneway(self, kind: str, body: Any) -> None:
         """Send a call without waiting for its answer; drop it if the peer is not connected."""
         if self._stream is not None:
-            self._stream.send(next(self._ids), kind, body)
+            self._stream.send(self._calls.open_oneway(), kind, body)
 
     def retire(self) -> None:
         """Close the link permanently once its calls in flight are answered; report no change."""
@@ -211,10 +216,8 @@
                     self._departure.announce(self._clock.now_ms())
                 elif frame.call_id == 0:
                     self._update_peer_status(_statuses.decode(frame.body))
-                else:
-                    waiter = self._waiting.get(-frame.call_id)
-                    if waiter is not None and not waiter.ready():
-                        waiter.send(frame)
+                elif not self._deliver(frame):
+                    return True
         except (OSError, msgspec.DecodeError) as exc:
             logger.debug('link to %s failed: %s', self.peer.name, exc)
         except Exception:
@@ -223,6 +226,17 @@
             return False
         return True
 
+    def _deliver(self, frame: frames.Frame) -> bool:
+        """Pass an answer on to its call; return False if the link can't be used any more."""
+        answer = self._calls.receive(-frame.call_id, frame.kind, FAILED)
+        if answer in STRAY_ANSWERS:
+            self._on_stray(self.peer.name, frame.kind, answer)
+        waiter = self._waiting.get(-frame.call_id)
+        if answer is Answer.AWAITED and waiter is not None and not waiter.ready():
+            waiter.send(frame)
+        # A peer that mixes up its calls may do so unnoticed in the next answers.
+        return answer is not Answer.OTHER_KIND
+
     def _update_peer_status(self, heartbeat_status: HeartbeatStatus) -> None:
         changed = heartbeat_status != self._peer_status
         self._peer_status = heartbeat_status
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -38,6 +38,7 @@
 from godwitthread.gateway.statement_router import StatementRouter
 from godwitthread.gateway.store_sync import ReaderRole, StoreSync
 from godwitthread.gateway.store_view import PEER_TABLE, StoreView
+from godwitthread.gateway.stray_answers import stray_answer_reporter
 from godwitthread.loop import eventlet
 
 if TYPE_CHECKING:
@@ -169,6 +170,7 @@
         self._organisations: dict[str, Organisation] = {}
         self._eviction = PeerEviction(clock, ports, log, self.view.row_revision)
         self._hello = Hello(peer.name, peer.incarnation)
+        self._report_stray = stray_answer_reporter(log, metrics)
 
     # Life cycle
 
@@ -351,6 +353,7 @@
                 self.heartbeat_status,
                 self._on_link_change,
                 self.store_sync.on_reports,
+                self._report_stray,
             )
             # The instance may have ended before this one was started.
             self._eviction.set_unreachable(peer.name)
--- a/tests/test_gateway/test_links.py
+++ b/tests/test_gateway/test_links.py
@@ -11,6 +11,7 @@
 
 from godwitthread.address import Address
 from godwitthread.clock import Clock
+from godwitthread.core.call_answers import Answer
 from godwitthread.core.catalog import Peer
 from godwitthread.core.departure import DEPARTURE_DELAY_MS
 from godwitthread.core.statements import Action, Result, RunRequest
@@ -60,11 +61,11 @@
     monkeypatch.setattr('godwitthread.sockets.socket', socket)
 
 
-def connected(listener: Listener, changes: list, on_reports=lambda *_: None) -> Link:
+def connected(listener: Listener, changes: list, *callbacks) -> Link:
     """Build a link and wait until it is connected."""
     link = Link(
         listener.peer, Hello('a', 1), Clock(), lambda: HeartbeatStatus(False, True),
-        lambda name, up: changes.append(up), on_reports,
+        lambda name, up: changes.append(up), *callbacks,
     )  # fmt: skip
     for _ in range(200):
         if link.up and link.reach().ready:
@@ -431,3 +432,35 @@
     assert result.error == ErrorKind.BODY_TOO_LARGE.value
     # The entry instance rolls the transaction back at its owner.
     assert not result.ended
+
+
+def test_answers_that_reach_no_call_are_reported():
+    """Guard against an answer that reaches another call, or none without a trace (MIXED)."""
+    listener = Listener(lambda sender, kind, body: eventlet.sleep(0.02) or body)
+    strays = []
+    link = connected(listener, [], lambda *_: None, lambda *stray: strays.append(stray))
+    with pytest.raises(ProxyError):
+        link.call('echo', 'late', 1)
+    link.send_oneway('echo', 'one way')
+    assert bytes(link.call('echo', 3, 500)) == b'\x03'
+    (inbound,) = listener.inbound
+    for call_id in (3, 2, 9, -1):
+        inbound.send(-call_id, 'echo', 'stray')
+    assert bytes(link.call('echo', 4, 500)) == b'\x04'
+    reasons = [Answer.LATE, Answer.REPEATED, Answer.REPEATED, Answer.UNKNOWN, Answer.UNKNOWN]
+    assert strays == [('b', 'echo', reason) for reason in reasons]
+    link.stop()
+
+
+def test_an_answer_of_another_kind_ends_the_link():
+    """Guard against a result that is taken from the answer to another call (MIXED)."""
+    listener = Listener(lambda sender, kind, body: eventlet.sleep(5))
+    link = connected(listener, [])
+    call = eventlet.spawn(link.call, 'echo', 1, 500)
+    eventlet.sleep(0)
+    (inbound,) = listener.inbound
+    inbound.send(-max(link._waiting), 'other', 2)
+    with pytest.raises(ProxyError) as info:
+        call.wait()
+    assert info.value.kind is ErrorKind.CONNECTION_LOST
+    link.stop()
