--- a/tests/test_gateway/test_links.py
+++ b/tests/test_gateway/test_links.py
@@ -216,6 +216,16 @@
     assert not listener.inbound
 
 
+def test_a_call_is_not_executed_after_the_end_of_its_connection():
+    """Guard against a transaction that begins after those of its sender were rolled back."""
+    executed = []
+    listener = Listener(lambda sender, kind, body: executed.append(sender))
+    near = send_frames(listener, (1, 'run', None), 'no frame')
+    eventlet.sleep(0.05)
+    assert (executed, len(listener.ended)) == ([], 1)
+    near.close()
+
+
 def test_calls_that_waited_for_a_suspended_instance_are_not_executed():
     """Guard against late work if the end of the connection doesn't reach the instance."""
     executed = []
