Do not begin a transaction that its session gave up while it waited for admission

A session's statements could run in a transaction that the session had given up. The first statement of a transaction waits for the rate of its organisation before it is known to the group. If the instance of the caller stopped waiting meanwhile (the owner may have been suspended) and the session began its next transaction, the late first statement ended that one, since it was marked as a first statement too, and began its own; the next statements and the commit of the session then ran in it. A rollback, the end of the peer's connection and the removal of the group did not reach a transaction in that wait either, so that it began afterwards and stayed open until the idle limit.

The group now records the newest transaction of each session from its arrival. One that is no longer the newest after its admission, or whose session has ended, is refused as rolled back.

The tests failed before in all four cases: the late first statement succeeded (assert '' == 'transaction_lost'). They pass now.

--- a/godwitthread/gateway/groups/group_runner.py
+++ b/godwitthread/gateway/groups/group_runner.py
@@ -44,39 +44,44 @@
         #: Takes an organisation and the maximum waits for its rate and for its granter, in ms.
         #: Returns 0 if the operation is admitted, else the delay before a retry, in ms.
         self._admit = admit
+        #: Number of the newest transaction of each session that waits for its admission.
+        self._admitting: dict[tuple[str, int], int] = {}
 
     def run(self, sender: str, req: RunRequest) -> Result:
         """Execute a statement of a session and return its result."""
         now_ms = self._clock.now_ms()
         deadline_ms = now_ms + req.remaining_ms
+        key = (sender, req.session)
         if req.action is Action.ROLLBACK:
-            self._beginning.pop((sender, req.session), None)
-            tx = self._transactions.get((sender, req.session))
+            self._admitting.pop(key, None)
+            self._beginning.pop(key, None)
+            tx = self._transactions.get(key)
             if tx is not None:
                 # A statement of it may still run or wait for its turn, and must not follow on a
                 # connection that another session uses by then.
                 clean = tx.conn not in self._busy
-                self._end_transaction((sender, req.session), tx, clean=clean)
+                self._end_transaction(key, tx, clean=clean)
             return Result(ended=True)
         if req.first:
-            wait_ms = self._admit(
-                req.organisation,
-                wait_limits.short_wait_ms(req.objective_ms),
-                wait_limits.max_wait_ms(req.remaining_ms) // 2,
-            )
-            if wait_ms:
-                return failure(
-                    ErrorKind.RATE_LIMITED, 'rate limit of the organisation exceeded', wait_ms, True
-                )
+            refusal = self._admit_first(key, req)
+            if refusal is not None:
+                return refusal
         if req.action is Action.SINGLE:
             if req.writes:
                 return self._write(req, deadline_ms)
             return self._read(req, deadline_ms)
         return self._in_transaction(sender, req, deadline_ms)
 
+    def end_sender(self, sender: str) -> None:
+        """Roll back the transactions of a peer connection that has ended, and begin no more."""
+        for key in [each for each in self._admitting if each[0] == sender]:
+            del self._admitting[key]
+        super().end_sender(sender)
+
     def close(self) -> None:
         """End all transactions, after their running statements, and keep no idle connections."""
         self.disable_pooling()
+        self._admitting.clear()
         self._beginning.clear()
         while self._transactions:
             self.end_idle_transactions()
@@ -107,3 +112,27 @@
             and (age_ms is None or age_ms > EVIDENCE_RENEWAL_MS)
         ):
             self.renew_evidence()
+
+    def _admit_first(self, key: tuple[str, int], req: RunRequest) -> Result | None:
+        """Wait for the admission of an operation; return its refusal, None if it may start."""
+        in_transaction = req.action is not Action.SINGLE
+        number = next(self._numbers)
+        if in_transaction:
+            self._admitting[key] = number
+        try:
+            wait_ms = self._admit(
+                req.organisation,
+                wait_limits.short_wait_ms(req.objective_ms),
+                wait_limits.max_wait_ms(req.remaining_ms) // 2,
+            )
+        finally:
+            newest = self._admitting.get(key) == number
+            if newest:
+                del self._admitting[key]
+        if wait_ms:
+            text = 'rate limit of the organisation exceeded'
+            return failure(ErrorKind.RATE_LIMITED, text, wait_ms, True)
+        if in_transaction and not newest:
+            # The session has given it up; it must neither begin now nor end a newer one.
+            return failure(ErrorKind.TRANSACTION_LOST, 'the transaction ended', ended=True)
+        return None
--- a/tests/test_gateway/test_group_runner.py
+++ b/tests/test_gateway/test_group_runner.py
@@ -540,3 +540,35 @@
     with pytest.raises(ValueError, match='scripted'):
         made.confirm_primary('m0')
     assert not made.pools['m0']._in_use
+
+
+def test_a_late_first_statement_does_not_replace_a_newer_transaction():
+    """Guard against statements that run in a transaction which the session gave up (PINNED)."""
+    group, released = FakeGroup(), eventlet.event.Event()
+    waits = [released.wait, lambda: 0]
+    made = runner(group, admit=lambda *_: waits.pop(0)())
+    late = eventlet.spawn(made.run, 'a', request('WRITE i old', Action.IN_TRANSACTION))
+    eventlet.sleep(0)
+    made.run('a', request('WRITE i new', Action.IN_TRANSACTION))
+    released.send(0)
+    assert late.wait().error == 'transaction_lost'
+    assert made.run('a', request('COMMIT', Action.COMMIT, first=False)).error == ''
+    assert group.texts() == ['WRITE i new', 'COMMIT']
+
+
+@pytest.mark.parametrize('end', ['rollback', 'end_sender', 'close'])
+def test_no_transaction_begins_after_its_session_has_ended(end):
+    """Guard against a transaction that nobody ends and whose first statement runs late."""
+    group, released = FakeGroup(), eventlet.event.Event()
+    made = runner(group, admit=lambda *_: released.wait())
+    late = eventlet.spawn(made.run, 'a', request('WRITE i old', Action.IN_TRANSACTION))
+    eventlet.sleep(0)
+    ends = {
+        'rollback': lambda: made.run('a', request('', Action.ROLLBACK)),
+        'end_sender': lambda: made.end_sender('a'),
+        'close': made.close,
+    }
+    ends[end]()
+    released.send(0)
+    assert late.wait().error == 'transaction_lost'
+    assert group.texts() == [] and not made.has_open_work()
