Start the call ids of the peer messages at a random number

A request to an instance could return the response to a request of the process that ran at the same address before. Responses are sent to the address in the request over a connection of their own, which the library opens anew, and each process numbered its calls from 1, so that a late response after a restart had the id of a call of the new process.

The first id of a process is now a random number of 62 bits. Ids still count up from there, and the response to an id that is not open is dropped and counted as late, as before.

The test failed before: the table of a new process took the three responses to the former one for its own, assert 0 == 3 late answers. It passes now. tests/test_peers passes.

--- a/godwitthread/peers/calls.py
+++ b/godwitthread/peers/calls.py
@@ -2,18 +2,23 @@
 
 from __future__ import annotations
 
+import secrets
 from typing import Any
 
 from godwitthread.errors import ErrorKind, ProxyError
 from godwitthread.loop import eventlet
 from godwitthread.peers.codec import Failure, error_from_failure
 
+#: Number of random bits of the first call id of a process.
+FIRST_ID_BITS = 62
+
 
 class PendingCalls:
     """Table of the requests that await a response, by call id."""
 
     def __init__(self) -> None:
-        self._next_id = 0
+        # Responses are sent to an address, where a restarted process may listen by then.
+        self._next_id = secrets.randbits(FIRST_ID_BITS)
         self._pending: dict[int, eventlet.event.Event] = {}
         self._kinds: dict[int, str] = {}
         #: Number of responses that arrived after the deadline or more than once.
--- a/tests/test_peers/test_link.py
+++ b/tests/test_peers/test_link.py
@@ -12,6 +12,7 @@
 from godwitthread.events import HybridLogicalClock
 from godwitthread.loop import eventlet
 from godwitthread.peers import codec
+from godwitthread.peers.calls import PendingCalls
 from godwitthread.peers.link import PeerLink
 from godwitthread.peers.outbox import Message, Outbox
 from tests.builders import seat
@@ -134,6 +135,16 @@
     wait_until(lambda: pair.first.counters()['dropped']['late_answer'] == 1)
 
 
+def test_responses_to_a_former_process_reach_no_call() -> None:
+    """Guards against a result of another request after a restart at the same address (MIXED)."""
+    former, restarted = PendingCalls(), PendingCalls()
+    call_ids = [restarted.open('execute') for _ in range(3)]
+    for _ in range(3):
+        restarted.resolve(former.open('execute'), Note(1))
+    assert restarted.late_answers == 3
+    assert [restarted.wait(call_id, 1) for call_id in call_ids] == [None] * 3
+
+
 def test_call_to_unreachable_peer_is_not_run_and_not_sent_later() -> None:
     """Guards against a request that is reported as not run and sent after a reconnect."""
     links = LinkPair()
