Send nothing on a connection to a PostgreSQL server that has unread input

A statement inside a transaction, or in the second step of a request with an idempotency key, could return the answer to an earlier statement. An idle connection is checked for input when it is taken from the pool, but the further requests of the same lease were sent without a look, and the first answer in the buffer was taken for theirs.

Each request now first looks whether data of the server are buffered, in the process or in the kernel. If so, the connection is closed and the request fails as not run, since nothing was sent; a transaction on it is lost. The end of the connection alone is still met by sending, as before.

--- a/godwitthread/backend/connection.py
+++ b/godwitthread/backend/connection.py
@@ -167,6 +167,11 @@
     def _exchange(self, send: Callable[[], Any], timeout_ms: int) -> Any:
         if self.broken:
             raise OpenError(f'connection to {self.member} is closed')
+        if self._stream.has_unread():
+            # An answer carries no id; the next one read would be taken for that to this request.
+            self.broken = True
+            self.close()
+            raise OpenError(f'{self.member} sent data without a request')
         self.sent += 1
         # Marked broken until the whole response has been read, so that no failure path,
         # such as a killed greenlet, allows reuse with a response outstanding.
--- a/godwitthread/backend/stream.py
+++ b/godwitthread/backend/stream.py
@@ -8,7 +8,7 @@
 from pg8000.core import FLUSH_MSG
 
 from godwitthread.loop import eventlet
-from godwitthread.sockets import has_no_input
+from godwitthread.sockets import has_no_input, unread_bytes
 
 RECEIVE_BYTES = 65_536
 
@@ -64,6 +64,10 @@
         """Return whether the peer has neither sent data nor closed the connection."""
         return self._index == len(self._in) and has_no_input(self._sock)
 
+    def has_unread(self) -> bool:
+        """Return whether data of the peer were received and not read."""
+        return self._index < len(self._in) or unread_bytes(self._sock) > 0
+
     def abort(self) -> None:
         """Shut the socket down, so that a blocked reader sees the end of the stream."""
         with contextlib.suppress(OSError):
