Refuse an answer of a PostgreSQL server that has another form than the request's

A statement could succeed without rows although it had not run yet. pg8000 reads messages until ReadyForQuery and does not look whether they answer the request, so that a second ReadyForQuery, or the late answer to a request of another form, was taken for the answer to the statement in progress. A commit could be confirmed in the same way.

The messages ParseComplete and CommandComplete of each answer are counted, and must be as many as the request causes: 1 and 1 for a statement, 0 and 1 for BEGIN, ROLLBACK and the like, and one CommandComplete more where the position is asked for. Otherwise the connection is closed and the outcome is unknown. A late answer of the same form still can't be told from the right one; the protocol has no id. The check of unread input finds the answer that is then left over.

--- a/godwitthread/backend/connection.py
+++ b/godwitthread/backend/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+from collections import Counter
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from pg8000 import core, native
@@ -34,6 +35,10 @@
 DESCRIBE_PORTAL = b'P' + UNNAMED
 
 
+#: Messages that tell which requests an answer belongs to.
+_COUNTED_MESSAGES = (core.PARSE_COMPLETE, core.COMMAND_COMPLETE)
+
+
 class _ResponseTimeoutError(Exception):
     """Report that the response did not arrive within the timeout."""
 
@@ -73,6 +78,10 @@
         self.broken = False
         #: Number of requests that may have been sent, at least in part.
         self.sent = 0
+        #: Number of messages of the current answer, by type.
+        self._messages: Counter[bytes] = Counter()
+        for code in _COUNTED_MESSAGES:
+            raw.message_types[code] = self._counting(code, raw.message_types[code])
 
     @classmethod
     def open(cls, spec: MemberSpec, login: Login, **options: Any) -> BackendConnection:
@@ -99,7 +108,10 @@
         """
         texts, oids = encode_parameters(sql, params, self._raw.py_types)
         answer = self._exchange(
-            lambda: self._extended_query(sql, texts, oids, want_position), timeout_ms
+            lambda: self._extended_query(sql, texts, oids, want_position),
+            timeout_ms,
+            parsed=1,
+            completed=1 + want_position,
         )
         return _result(*answer)
 
@@ -113,7 +125,7 @@
         Raise StatementError when the transaction was rolled back instead.
         """
         sql = f'COMMIT; {POSITION_SQL}'
-        context = self._exchange(lambda: self._raw.execute_simple(sql), timeout_ms)
+        context = self._exchange(lambda: self._raw.execute_simple(sql), timeout_ms, completed=2)
         return _position(context.rows)
 
     def rollback(self, *, timeout_ms: int = DEFAULT_TIMEOUT_MS) -> None:
@@ -164,7 +176,10 @@
         self._stream.close()
         self.broken = True
 
-    def _exchange(self, send: Callable[[], Any], timeout_ms: int) -> Any:
+    def _exchange(
+        self, send: Callable[[], Any], timeout_ms: int, *, parsed: int = 0, completed: int = 1
+    ) -> Any:
+        """Send a request and return its answer, which must have the expected messages."""
         if self.broken:
             raise OpenError(f'connection to {self.member} is closed')
         if self._stream.has_unread():
@@ -176,6 +191,7 @@
         # Marked broken until the whole response has been read, so that no failure path,
         # such as a killed greenlet, allows reuse with a response outstanding.
         self.broken = True
+        self._messages.clear()
         try:
             with eventlet.Timeout(timeout_ms / 1000, _ResponseTimeoutError()):
                 answer = send()
@@ -190,9 +206,20 @@
         except BaseException:
             self.close()
             raise
+        if tuple(self._messages[code] for code in _COUNTED_MESSAGES) != (parsed, completed):
+            # A late answer to another request arrived before the one to this request.
+            self.close()
+            raise connection_lost(f'{self.member} answered another request')
         self.broken = False
         return answer
 
+    def _counting(self, code: bytes, handle: Callable[..., Any]) -> Callable[..., Any]:
+        def count_and_handle(data: bytes, context: core.Context) -> None:
+            self._messages[code] += 1
+            handle(data, context)
+
+        return count_and_handle
+
     def _extended_query(
         self, sql: str, texts: Sequence[str | None], oids: list[int], want_position: bool
     ) -> tuple[core.Context, core.Context | None]:
--- a/tests/test_backend/test_foreign_answers.py
+++ b/tests/test_backend/test_foreign_answers.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from godwitthread.errors import Outcome, ProxyError
+from godwitthread.errors import ErrorKind, Outcome, ProxyError
 from godwitthread.loop import eventlet
-from tests.test_backend.scripted_backend import READY, ScriptedBackend, answer, message
+from tests.test_backend.scripted_backend import DONE, READY, ScriptedBackend, answer, message, row
 
 
 @pytest.mark.parametrize('rest', [answer(b'a'), READY, b'Z'], ids=['answer', 'ready', 'part'])
@@ -24,6 +24,24 @@
     assert len(backend.received) == 1
 
 
+@pytest.mark.parametrize('stale', [READY, DONE, row(b'a') + DONE], ids=['ready', 'done', 'row'])
+def test_an_answer_of_another_form_is_not_that_to_the_statement(stale):
+    """Guards against a late answer that is taken for a success without rows (MIXED)."""
+    conn = ScriptedBackend([stale, answer(b'b')]).connect()
+    with pytest.raises(ProxyError) as caught:
+        conn.run('SELECT 1')
+    assert (caught.value.kind, conn.broken) == (ErrorKind.CONNECTION_LOST, True)
+
+
+@pytest.mark.parametrize('stale', [READY, answer(b'a'), DONE], ids=['ready', 'answer', 'done'])
+def test_a_late_answer_does_not_confirm_a_commit(stale):
+    """Guards against a position from another answer, and a commit that is confirmed by one."""
+    conn = ScriptedBackend([stale, DONE]).connect()
+    with pytest.raises(ProxyError) as caught:
+        conn.commit()
+    assert (caught.value.kind, conn.broken) == (ErrorKind.CONNECTION_LOST, True)
+
+
 def test_notices_between_the_messages_of_an_answer_are_no_part_of_it():
     """Guards against a connection that is given up for a notice or a changed parameter."""
     notice = message(b'N', b'SNOTICE\0\0')
