Open a new connection to the store if the former one has unread input

A write could return the version of another row. The client of the store keeps its HTTP connection and reads the next response on it as that to its next request, so that a response that the store sent twice, and which came after the first one was read, moved all later ones by one. A wrong version makes the next conditional write of the instance fail, or expect what another writer wrote.

The connection is now looked at before each request. With input, or at its end, it is closed and a new one is opened; nothing has been sent by then. A connection that the store had closed made the next write end with an unknown outcome before, and no longer does. A second response that arrives after the next request was sent still can't be told from the right one.

The test failed before: the second write returned the version 7 of the first where 8 was answered. It passes now.

--- a/godwitthread/platform/store.py
+++ b/godwitthread/platform/store.py
@@ -16,7 +16,7 @@
     StoredRows,
     StoreUnreachableError,
 )
-from godwitthread.sockets import connect, shutdown_socket
+from godwitthread.sockets import connect, has_no_input, shutdown_socket
 
 if TYPE_CHECKING:
     from godwitthread.address import Address
@@ -162,6 +162,10 @@
         return decoded
 
     def _connection(self) -> http.client.HTTPConnection:
+        open_sock = self._conn.sock if self._conn is not None else None
+        if open_sock is not None and not has_no_input(open_sock):
+            # A response that was not asked for would be taken for that to the next request.
+            self.close()
         if self._conn is None or self._conn.sock is None:
             conn = http.client.HTTPConnection(self._address.host, self._address.port)
             try:
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -152,3 +152,37 @@
     with pytest.raises(ProxyError) as info:
         client.put('instances', 'a', b'{}')
     assert info.value.kind is ErrorKind.STORE_UNKNOWN
+
+
+def answer_to_write(revision: int) -> bytes:
+    """Build the response to a write."""
+    body = b'{"Revision":%d}' % revision
+    return b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s' % (len(body), body)
+
+
+@pytest.fixture
+def scripted_store():
+    """Return the address of a store and the packets with which it answers each request."""
+    listener = eventlet.listen(('127.0.0.1', 0))
+    answers: list[list[bytes]] = []
+
+    def serve(sock, _):
+        while sock.recv(4_096):
+            for packet in answers.pop(0):
+                sock.sendall(packet)
+                eventlet.sleep(0.01)
+
+    thread = eventlet.spawn(eventlet.serve, listener, serve)
+    yield Address(*listener.getsockname()), answers
+    thread.kill()
+    listener.close()
+
+
+def test_a_response_that_was_repeated_is_not_that_to_the_next_call(scripted_store):
+    """Guard against a version of another row, which an instance then expects."""
+    address, answers = scripted_store
+    answers += [[answer_to_write(7), answer_to_write(7)], [answer_to_write(8)]]
+    client = store.StoreClient(address)
+    assert client.put('peers', 'a', b'') == 7
+    eventlet.sleep(0.05)
+    assert client.put('peers', 'b', b'') == 8
