Close the connection to the store when a call on it is abandoned

A call to the store failed with an unknown outcome, after its write had been sent, because an earlier call on the same connection had been interrupted by a time-out of eventlet or by the end of its green thread. Both are BaseException, which the client did not catch, so that the connection was kept with a response outstanding. http.client refused to take that response for the next one (ResponseNotReady or CannotSendRequest), which is why no foreign response was returned.

The connection is now closed on every way out of a request other than its complete response, and the next call opens another.

The tests failed before in all four cases (STORE_UNKNOWN, ResponseNotReady among them). They pass now.

--- a/godwitthread/platform/store.py
+++ b/godwitthread/platform/store.py
@@ -145,6 +145,10 @@
             if sent and method == 'POST':
                 kind = ErrorKind.STORE_UNKNOWN
             raise ProxyError(kind, f'store: {type(exc).__name__}: {exc}') from exc
+        except BaseException:
+            # A time-out of eventlet or the end of the green thread leaves a response outstanding.
+            self.close()
+            raise
         if status == 410:
             raise HistoryLostError
         if status == 412:
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -186,3 +186,16 @@
     assert client.put('peers', 'a', b'') == 7
     eventlet.sleep(0.05)
     assert client.put('peers', 'b', b'') == 8
+
+
+@pytest.mark.parametrize('error', [eventlet.greenlet.GreenletExit, eventlet.Timeout])
+@pytest.mark.parametrize('head', [b'', b'HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n'])
+def test_a_connection_is_closed_when_its_call_is_abandoned(scripted_store, error, head):
+    """Guard against a late response that is taken for that to the next call."""
+    address, answers = scripted_store
+    answers += [[head], [answer_to_write(8)]]
+    client = store.StoreClient(address)
+    call = eventlet.spawn(client.put, 'peers', 'a', b'')
+    eventlet.sleep(0.03)
+    call.kill(error)
+    assert client.put('peers', 'b', b'') == 8
