Quote names of others in plain lines of the log

A statement that failed with an unexpected error wrote its id as it was sent into a line of the log. An id may hold LF and escape sequences, so that a caller could forge lines or confuse a terminal; the name with which a peer identifies itself was written the same way. Events are JSON and were not affected.

The three messages now write such texts with %r, which escapes all that is not printable.

test_the_id_of_a_statement_stays_in_one_line_of_the_log failed before at isprintable(); passes after. The two messages on peers have no test of their own.

--- a/godwitthread/gateway/link_server.py
+++ b/godwitthread/gateway/link_server.py
@@ -104,7 +104,7 @@
                 # This process was suspended, or the frame was delayed. The peer, which got no
                 # heartbeat, has given up its calls and reported their outcome as unknown. A
                 # statement or an order that runs now would overwrite newer ones.
-                logger.info('link from %s given up by the peer', sender)
+                logger.info('link from %r given up by the peer', sender)
                 return
             if frame.call_id == 0:
                 stream.send(0, HEARTBEAT, heartbeat_status())
@@ -114,7 +114,7 @@
             else:
                 eventlet.spawn_n(_answer, stream, sender, frame, handler)
     except (OSError, msgspec.DecodeError) as exc:
-        logger.debug('link from %s failed: %s', sender, exc)
+        logger.debug('link from %r failed: %s', sender, exc)
     finally:
         streams.discard(stream)
         stream.release()
--- a/godwitthread/gateway/session.py
+++ b/godwitthread/gateway/session.py
@@ -310,7 +310,7 @@
         try:
             result, owner = self._sessions.run(req, self._owner)
         except Exception:
-            logger.exception('statement %s failed', statement.id[:MAX_LOGGED])
+            logger.exception('statement %r failed', statement.id[:MAX_LOGGED])
             result, owner = unknown_outcome(req, 'internal error'), self._owner
             if self.state is TxState.OPEN:
                 self._roll_back(self._route, self._owner)
--- a/tests/test_wire/test_logged_texts.py
+++ b/tests/test_wire/test_logged_texts.py
@@ -38,3 +38,14 @@
     line = logged(caplog, ODD.decode('latin-1'), ODD.replace(b' ', b'') + b' READ a')
     assert line.isascii() and line.isprintable()
     assert json.loads(line)['reason'] == ODD.decode('latin-1')
+
+
+def test_the_id_of_a_statement_stays_in_one_line_of_the_log(caplog):
+    """Guard against lines of the log that a caller forges in a statement which fails."""
+
+    def fail(_):
+        raise RuntimeError('scripted')
+
+    lines = converse(fail, codec.lines(b'QUERY ' + ODD.replace(b' ', b'') + b' READ a'))
+    assert lines[-1] == b'READY I -'
+    assert all(each.getMessage().isprintable() for each in caplog.records)
