Refuse HTTP requests whose end is ambiguous

A caller could make an instance run a request that stood in the body of another one. The HTTP server of eventlet takes the first of two Content-Length headers, ignores a Transfer-Encoding other than exactly "chunked" and takes a body to be empty if the header of its length has a blank before the colon or stands behind a malformed line; lengths such as +0 and 0_0 are numbers to it, a carriage return inside a value starts a header and a continued line joins one. Behind a balancer that reads such a request otherwise, the rest of the body is a request on a connection of other callers.

The protocol of the caller and operator ports now answers such a request with 400 malformed_request and closes the connection. A Transfer-Encoding is refused altogether; a chunked body was not read before either, so that no working client sends one. The header values themselves may have bytes above 127, as before.

--- a/godwitthread/instance/http.py
+++ b/godwitthread/instance/http.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from godwitthread.errors import ErrorKind, ProxyError
+from godwitthread.instance.request_framing import strict_protocol
 from godwitthread.instance.tls import handshake
 from godwitthread.loop import eventlet
 from godwitthread.sockets import has_no_input
@@ -112,6 +113,16 @@
     return [reply.body]
 
 
+def _ambiguous_request(reason: str) -> bytes:
+    reply = error_reply(ProxyError(ErrorKind.MALFORMED_REQUEST, reason))
+    head = (
+        f'HTTP/1.1 {reply.status} {_REASONS[reply.status]}\r\n'
+        f'Content-Type: {reply.content_type}\r\n'
+        f'Content-Length: {len(reply.body)}\r\nConnection: close\r\n\r\n'
+    )
+    return head.encode() + reply.body
+
+
 class HttpServer:
     """Serve one WSGI application on one listening socket."""
 
@@ -150,6 +161,7 @@
             self._sock,
             self._app,
             custom_pool=self._pool,
+            protocol=strict_protocol(_ambiguous_request),
             log_output=False,
             debug=False,
             log=logging.getLogger('godwitthread.http'),
