Refuse keys in the client that are no value of a header

A key with a NUL was sent to the instance, and one with CR LF or with characters beyond latin-1 ended in a ValueError or UnicodeEncodeError of a library, after a connection had been opened, instead of the client's own error with an outcome. A key with CR LF never reached the wire, since http.client checks for that.

The client now checks the key before each request and raises malformed_request, which means that nothing was sent. Keys consist of printable ASCII characters.

--- a/godwitthread/client/transport.py
+++ b/godwitthread/client/transport.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import re
 import ssl
 from typing import Any
 
@@ -30,6 +31,9 @@
 #: when it is unset, those of the system are used.
 CA_FILE_VARIABLE = 'GODWITTHREAD_CA_FILE'
 
+#: Characters that a key can have, as the value of a header.
+_KEY = re.compile(r'[!-~]*')
+
 
 class RequestError(ProxyError):
     """Failed request with its kind, outcome and request id."""
@@ -123,6 +127,9 @@
             'Godwitthread-Deadline-Ms': str(remaining_ms),
         }
         if self._key is not None:
+            if not _KEY.fullmatch(self._key):
+                message = 'the key has characters that no key has'
+                raise RequestError(ErrorKind.MALFORMED_REQUEST, message)
             headers['Authorization'] = f'Bearer {self._key}'
         return headers
 
