Treat an answer of a PostgreSQL server that can't be decoded as a lost connection

After a malformed message a statement ended as an internal error, and a connection that was being opened or reset kept its place in the pool for good: the threads that open and reset connections expect a ProxyError, while pg8000 raises KeyError, struct.error, IndexError and others. The connection itself was closed, so that nothing was read from it as the answer to another statement.

Such an answer now has an unknown outcome (connection_lost), and a connection whose greeting can't be decoded counts as not opened. The interruption of a green thread still passes through unchanged.

The tests failed before in all four cases, with a KeyError among them. They pass now.

--- a/godwitthread/backend/connection.py
+++ b/godwitthread/backend/connection.py
@@ -203,6 +203,10 @@
         except (_ResponseTimeoutError, OSError) as exc:
             self.close()
             raise connection_lost(f'no answer from {self.member}: {exc!r}') from exc
+        except Exception as exc:
+            # pg8000 raises errors of many types for messages that it can't decode.
+            self.close()
+            raise connection_lost(f'malformed answer of {self.member}: {exc!r}') from exc
         except BaseException:
             self.close()
             raise
@@ -293,6 +297,9 @@
     except (_ResponseTimeoutError, InterfaceError, OSError) as exc:
         _close(stream)
         raise OpenError(f'cannot connect to {spec.name}: {exc!r}') from exc
+    except Exception as exc:
+        _close(stream)
+        raise OpenError(f'malformed answer of {spec.name}: {exc!r}') from exc
     except BaseException:
         _close(stream)
         raise
--- a/tests/test_backend/scripted_backend.py
+++ b/tests/test_backend/scripted_backend.py
@@ -17,6 +17,7 @@
 
 
 READY = message(b'Z', b'I')
+GREETING = message(b'R', b'\0\0\0\0') + READY
 PARSED = message(b'1') + message(b'2')
 DONE = message(b'C', b'SELECT 1\0') + READY
 
@@ -35,9 +36,10 @@
 class ScriptedBackend:
     """Listening server with the packets of its answers, one list of them for each request."""
 
-    def __init__(self, *answers: list[bytes]) -> None:
+    def __init__(self, *answers: list[bytes], greeting: bytes = GREETING) -> None:
         self.received: list[bytes] = []
         self._answers = list(answers)
+        self._greeting = greeting
         self._listener = eventlet.listen(('127.0.0.1', 0))
         eventlet.spawn(self._serve)
 
@@ -51,7 +53,7 @@
         sock, _ = self._listener.accept()
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.recv(10_000)
-        sock.sendall(message(b'R', b'\0\0\0\0') + READY)
+        sock.sendall(self._greeting)
         while data := sock.recv(10_000):
             self.received.append(data)
             for packet in self._answers.pop(0) if self._answers else ():
--- a/tests/test_backend/test_foreign_answers.py
+++ b/tests/test_backend/test_foreign_answers.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from godwitthread.backend.errors import OpenError
 from godwitthread.errors import ErrorKind, Outcome, ProxyError
 from godwitthread.loop import eventlet
 from tests.test_backend.scripted_backend import DONE, READY, ScriptedBackend, answer, message, row
@@ -48,3 +49,20 @@
     parameter = message(b'S', b'TimeZone\0UTC\0')
     conn = ScriptedBackend([notice + parameter + answer(b'a')]).connect()
     assert (conn.run('SELECT 1').rows, conn.alive()) == ([['a']], True)
+
+
+@pytest.mark.parametrize(
+    'malformed', [message(b'?'), message(b'D', b'\0\5'), message(b'T', b'\0\1x')]
+)
+def test_an_answer_that_cannot_be_read_has_an_unknown_outcome(malformed):
+    """Guards against an unexpected error, which no handler of lost connections catches."""
+    conn = ScriptedBackend([message(b'1') + malformed + DONE]).connect()
+    with pytest.raises(ProxyError) as caught:
+        conn.run('SELECT 1')
+    assert (caught.value.kind, conn.broken) == (ErrorKind.CONNECTION_LOST, True)
+
+
+def test_a_connection_that_cannot_be_opened_is_refused():
+    """Guards against a slot of the pool that stays taken by a connection being opened."""
+    with pytest.raises(OpenError):
+        ScriptedBackend(greeting=message(b'?') + READY).connect()
