Check that a forwarded request got its own answer

An instance returned whatever body the response to a forwarded request had. Responses are matched with requests by call id alone, which a confused peer may mix up, although each body carries the id of the request that it answers.

--- a/godwitthread/instance/forwarding.py
+++ b/godwitthread/instance/forwarding.py
@@ -148,7 +148,10 @@
             time_left_ms - RETURN_RESERVE_MS,
             charge,
         )
-        answer: ForwardAnswer = self._link.call(seat, message, time_left_ms)
+        answer = self._link.call(seat, message, time_left_ms)
+        if not isinstance(answer, ForwardAnswer) or answer.body.get('request_id') != req.request_id:
+            text = f'{seat.name} answered another request'
+            raise ProxyError(ErrorKind.CONNECTION_LOST, text)
         return msgspec.convert(answer.body, dict[str, Any])  # type: ignore[return-value]
 
     def _on_request(self, envelope: Envelope) -> ForwardAnswer:
