Process no frames behind the end of a link

A peer counted as reached, and its answers were processed, on a connection that this instance had already closed, for example because the peer had been silent. Frames that were received before the end stayed readable, and the first of them made the closed stream the current one again. Calls sent on it failed as of unknown outcome although they could never reach the peer.

The reading thread now stops at the first frame after the stream was closed, and opens a new connection.

The test failed before: the peer was reported as reached with a closed stream, [False, True, True, False].

--- a/godwitthread/gateway/links.py
+++ b/godwitthread/gateway/links.py
@@ -198,7 +198,7 @@
     def _read(self, stream: FrameStream) -> bool:
         """Process messages until the connection ends; return False after an unexpected error."""
         try:
-            while (data := stream.read()) is not None:
+            while (data := stream.read()) is not None and not stream.closed:
                 frame = frames.decoder.decode(data)
                 now_ms, former_ms = self._clock.now_ms(), self._heard_ms
                 if self._stream is not None and now_ms - former_ms >= PEER_TIMEOUT_MS:
--- a/tests/test_gateway/test_links.py
+++ b/tests/test_gateway/test_links.py
@@ -474,3 +474,17 @@
         call.wait()
     assert info.value.kind is ErrorKind.CONNECTION_LOST
     link.stop()
+
+
+def test_frames_behind_the_end_of_a_link_do_not_open_it_again():
+    """Guard against a peer that counts as reached on a connection that is closed."""
+    listener = Listener(lambda sender, kind, body: 1)
+    changes, stale = [], []
+    link = connected(listener, changes, lambda *_: link._drop_stream())
+    link._on_change = lambda name, up: stale.append(up and link.stream.closed)
+    (inbound,) = listener.inbound
+    inbound.send(0, frames.TABLE_REPORTS, TableReports(5, ()))
+    inbound.send(0, frames.HEARTBEAT, HeartbeatStatus(False, False))
+    eventlet.sleep(0.05)
+    assert stale and not any(stale)
+    link.stop()
