Read the position after an error of pg8000's own as well

A connection to a PostgreSQL server could be used again with an answer outstanding. Where a statement and the query of the position are sent together and pg8000 itself reports that the transaction has failed, which it raises as an InterfaceError and not as an error of the database, the answer to the query was left unread, while the connection counted as complete.

The answer is read after both kinds of error. An InterfaceError of another reason, such as a broken connection, still closes the connection.

The test failed before: assert conn.alive() was False, with unread input. It passes now. No path of the product sends the two together inside a transaction at present, so that callers did not meet it.

--- a/godwitthread/backend/connection.py
+++ b/godwitthread/backend/connection.py
@@ -249,17 +249,24 @@
         context = core.Context(POSITION_SQL) if wanted else None
         try:
             yield context
-        except DatabaseError:
+        except (DatabaseError, InterfaceError):
             if context is not None:
-                with contextlib.suppress(DatabaseError):
-                    self._raw.handle_messages(context)
+                self._skip_answer(context)
             raise
         if context is not None:
             self._raw.handle_messages(context)
 
+    def _skip_answer(self, context: core.Context) -> None:
+        try:
+            self._raw.handle_messages(context)
+        except DatabaseError:
+            pass
+        except InterfaceError as exc:
+            if not _is_failed_transaction(exc):
+                raise
+
     def _interface_error(self, exc: InterfaceError) -> Exception:
-        if 'failed transaction' in str(exc):
-            # pg8000 raises this after it has read the whole response.
+        if _is_failed_transaction(exc):
             self.broken = False
             return StatementError(FAILED_TRANSACTION, 'the transaction has failed')
         self.close()
@@ -328,6 +335,11 @@
     return Position(int(rows[0][0]), int(rows[0][1]))
 
 
+def _is_failed_transaction(exc: InterfaceError) -> bool:
+    # pg8000 raises this after it has read the whole response.
+    return 'failed transaction' in str(exc)
+
+
 def _error_fields(exc: DatabaseError) -> dict[str, str]:
     fields = exc.args[0] if exc.args else {}
     return fields if isinstance(fields, dict) else {}
--- a/tests/test_backend/test_foreign_answers.py
+++ b/tests/test_backend/test_foreign_answers.py
@@ -4,10 +4,18 @@
 
 import pytest
 
-from godwitthread.backend.errors import OpenError
+from godwitthread.backend.errors import OpenError, StatementError
 from godwitthread.errors import ErrorKind, Outcome, ProxyError
 from godwitthread.loop import eventlet
-from tests.test_backend.scripted_backend import DONE, READY, ScriptedBackend, answer, message, row
+from tests.test_backend.scripted_backend import (
+    DONE,
+    PARSED,
+    READY,
+    ScriptedBackend,
+    answer,
+    message,
+    row,
+)
 
 
 @pytest.mark.parametrize('rest', [answer(b'a'), READY, b'Z'], ids=['answer', 'ready', 'part'])
@@ -66,3 +74,17 @@
     """Guards against a slot of the pool that stays taken by a connection being opened."""
     with pytest.raises(OpenError):
         ScriptedBackend(greeting=message(b'?') + READY).connect()
+
+
+def test_the_position_is_read_although_the_transaction_has_failed():
+    """Guards against an outstanding answer that is taken for that to the next request (MIXED)."""
+    failed = message(b'Z', b'E')
+    first = PARSED + message(b'C', b'SELECT 1\0') + failed
+    position = row(b'1') + message(b'C', b'SELECT 1\0') + failed
+    backend = ScriptedBackend([message(b'C', b'BEGIN\0') + failed], [first, position])
+    conn = backend.connect()
+    conn.begin()
+    with pytest.raises(StatementError):
+        conn.run('SELECT 1', want_position=True)
+    eventlet.sleep(0.05)
+    assert conn.alive()
