Quote the sender in the line of log about a dropped call

The name of a sender comes from its first frame, and may hold line breaks or control characters, which would let a peer write lines of its own into the plain log. The line about a call whose connection has ended now writes the name as a quoted literal, as it does with the kind of the call. Read only; the tests of the links pass.

--- a/godwitthread/gateway/link_server.py
+++ b/godwitthread/gateway/link_server.py
@@ -124,7 +124,7 @@
 def _answer(stream: FrameStream, sender: str, frame: Frame, handler: CallHandler) -> None:
     if stream.closed:
         # The transactions of the sender were rolled back; a later one would stay open.
-        logger.info('call %r of %s dropped, its connection has ended', frame.kind, sender)
+        logger.info('call %r of %r dropped, its connection has ended', frame.kind, sender)
         return
     try:
         body = handler(sender, frame.kind, frame.body)
