--- a/tests/test_gateway/test_group_runner.py
+++ b/tests/test_gateway/test_group_runner.py
@@ -572,3 +572,15 @@
     released.send(0)
     assert late.wait().error == 'transaction_lost'
     assert group.texts() == [] and not made.has_open_work()
+
+
+def test_a_connection_that_lacks_a_prepared_statement_is_not_used_again():
+    """Guard against a member whose state differs from what the instance believes (PINNED)."""
+    group = FakeGroup(count=1)
+    made = runner(group)
+    req = request('EXEC s1 i', prepared=Prepared(True, 'q'))
+    assert made.run('a', req).error == ''
+    (conn,) = group.connections
+    conn.execute = lambda *_: conn._reply(refusal=Refusal.UNPREPARED)
+    assert made.run('a', req).error == ''
+    assert conn.closed
