Do not take the response to an earlier write for that to the next one

A write to the store could be taken for done although it was not, with the version of another row: a second response to the write before it, which arrived after the next request was sent, was read as the response to that request. Nothing in it names its request.

The store takes versions from one counter that increases with each transaction, so that the version in the response to a write exceeds that of the write before on the same client. Otherwise the outcome is now unknown (STORE_UNKNOWN) and the connection is closed. The remembered version follows the last response, so that no more than one write fails if the counter should ever start anew.

The test failed before: DID NOT RAISE. It passes now. Reads have no such mark; a repeated response to a read that arrives late is still returned, if it is one about rows at all.

--- a/godwitthread/platform/store.py
+++ b/godwitthread/platform/store.py
@@ -44,6 +44,8 @@
         self._address = address
         self._conn: http.client.HTTPConnection | None = None
         self._read_timeout_ms = READ_TIMEOUT_MS
+        #: Version of the newest row that this client wrote.
+        self._written_revision = 0
 
     def table(self, table: str) -> StoredRows:
         """Read a whole table; raise STORE_UNAVAILABLE."""
@@ -92,10 +94,17 @@
         body = {'ExpectedRev': expected, 'Writes': [write], 'Remove': []}
         response = self._call('POST', '/v1/rows-tx', body)
         try:
-            return _revision(response)
+            revision = _revision(response)
         except (KeyError, TypeError) as exc:
             message = f'store: malformed response: {type(exc).__name__}: {exc}'
             raise ProxyError(ErrorKind.STORE_UNKNOWN, message) from exc
+        is_newer = revision > self._written_revision
+        self._written_revision = revision
+        if not is_newer:
+            # Versions increase with each write, so this is the response to an earlier one.
+            self.close()
+            raise ProxyError(ErrorKind.STORE_UNKNOWN, f'store: version {revision} returned again')
+        return revision
 
     def remove(self, table: str, key: str, expected_revision: int) -> None:
         """Remove a row at an expected revision; raise the same errors as `put`."""
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -188,6 +188,19 @@
     assert client.put('peers', 'b', b'') == 8
 
 
+def test_a_late_second_response_does_not_confirm_the_next_write(scripted_store):
+    """Guard against a write that is taken for done, with the version of another row."""
+    address, answers = scripted_store
+    answers += [[answer_to_write(7)], [answer_to_write(7), answer_to_write(8)]]
+    answers += [[answer_to_write(9)]]
+    client = store.StoreClient(address)
+    assert client.put('peers', 'a', b'') == 7
+    with pytest.raises(ProxyError) as caught:
+        client.put('peers', 'b', b'')
+    assert caught.value.kind is ErrorKind.STORE_UNKNOWN
+    assert client.put('peers', 'c', b'') == 9
+
+
 @pytest.mark.parametrize('error', [eventlet.greenlet.GreenletExit, eventlet.Timeout])
 @pytest.mark.parametrize('head', [b'', b'HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n'])
 def test_a_connection_is_closed_when_its_call_is_abandoned(scripted_store, error, head):
