--- a/tests/test_backend/test_foreign_answers.py
+++ b/tests/test_backend/test_foreign_answers.py
@@ -4,9 +4,18 @@
 
 import pytest
 
+from godwitthread.backend.errors import OpenError, StatementError
 from godwitthread.errors import ErrorKind, Outcome, ProxyError
 from godwitthread.loop import eventlet
-from tests.test_backend.scripted_backend import DONE, READY, ScriptedBackend, answer, message, row
+from tests.test_backend.scripted_backend import (
+    DONE,
+    PARSED,
+    READY,
+    ScriptedBackend,
+    answer,
+    message,
+    row,
+)
 
 
 @pytest.mark.parametrize('rest', [answer(b'a'), READY, b'Z'], ids=['answer', 'ready', 'part'])
@@ -48,3 +57,34 @@
     parameter = message(b'S', b'TimeZone\0UTC\0')
     conn = ScriptedBackend([notice + parameter + answer(b'a')]).connect()
     assert (conn.run('SELECT 1').rows, conn.alive()) == ([['a']], True)
+
+
+@pytest.mark.parametrize(
+    'malformed', [message(b'?'), message(b'D', b'\0\5'), message(b'T', b'\0\1x')]
+)
+def test_an_answer_that_cannot_be_read_has_an_unknown_outcome(malformed):
+    """Guards against an unexpected error, which no handler of lost connections catches."""
+    conn = ScriptedBackend([message(b'1') + malformed + DONE]).connect()
+    with pytest.raises(ProxyError) as caught:
+        conn.run('SELECT 1')
+    assert (caught.value.kind, conn.broken) == (ErrorKind.CONNECTION_LOST, True)
+
+
+def test_a_connection_that_cannot_be_opened_is_refused():
+    """Guards against a slot of the pool that stays taken by a connection being opened."""
+    with pytest.raises(OpenError):
+        ScriptedBackend(greeting=message(b'?') + READY).connect()
+
+
+def test_the_position_is_read_although_the_transaction_has_failed():
+    """Guards against an outstanding answer that is taken for that to the next request (MIXED)."""
+    failed = message(b'Z', b'E')
+    first = PARSED + message(b'C', b'SELECT 1\0') + failed
+    position = row(b'1') + message(b'C', b'SELECT 1\0') + failed
+    backend = ScriptedBackend([message(b'C', b'BEGIN\0') + failed], [first, position])
+    conn = backend.connect()
+    conn.begin()
+    with pytest.raises(StatementError):
+        conn.run('SELECT 1', want_position=True)
+    eventlet.sleep(0.05)
+    assert conn.alive()
