Assign the answers of a member to its requests

Callers saw rows and receipts of an earlier statement, and successes of reads without a receipt. An answer carries no id, and the connection took whatever came next as the answer to the statement in flight. A member that answers twice moved all later answers by one, and a second answer in the same packet stayed in the buffer of the reader, where `alive` did not look.

`AnswerAlignment` in core now decides on every answer. A success fits a read, write or COMMIT only with a fresh receipt, a request of the gateway itself only with `DONE -` and the rows and the state that follow it. Answers that arrived before within 15 s are repeats and are skipped; other answers close the connection, and the outcome is unknown. What arrived before a request is sent is judged as an answer to nothing, also the rest of an answer that had arrived in part; a connection goes on only if it repeats an earlier answer. A request whose answer is not read to its end closes the connection whatever ended it, also GreenletExit and eventlet.Timeout, which `except OSError` let pass; so do a second request beside it, and a refused ROLLBACK or session command. It works since a repeat has the content of an answer that this connection has received, and a fresh receipt can only be that of the newest statement.

--- /dev/null
+++ b/godwitthread/core/answer_alignment.py
@@ -0,0 +1,196 @@
+"""Assignment of the answers on one connection to a backend server to its requests.
+
+An answer carries no id, so that only its content and its order tell which request it belongs to.
+A backend server answers requests in order, and may send an answer again later.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING, NamedTuple
+
+from godwitthread.core.statements import TxState
+
+if TYPE_CHECKING:
+    from collections.abc import Hashable
+
+    from godwitthread.core.statements import Reply
+
+#: Receipt of an answer to a request that takes none.
+NO_RECEIPT = '-'
+#: Time for which an answer is remembered, in ms. Backend servers execute and answer some requests
+#: up to 12 s late.
+ANSWER_MEMORY_MS = 15_000
+
+
+class Irregularity(Enum):
+    """Ways in which an answer does not fit the request in progress."""
+
+    #: Data arrived while no request was in progress.
+    UNSOLICITED = 'unsolicited'
+    #: The receipt is that of an earlier answer.
+    REPEATED_RECEIPT = 'repeated_receipt'
+    #: An earlier answer without a receipt arrived again.
+    REPEATED_ANSWER = 'repeated_answer'
+    #: A statement succeeded without a receipt.
+    MISSING_RECEIPT = 'missing_receipt'
+    #: A request of the gateway itself was answered with a receipt.
+    UNEXPECTED_RECEIPT = 'unexpected_receipt'
+    #: The rows are not those of an answer to the request.
+    UNEXPECTED_ROWS = 'unexpected_rows'
+    #: The transaction state is not that after the request.
+    UNEXPECTED_STATE = 'unexpected_state'
+    #: The lines are not those of an answer.
+    MALFORMED = 'malformed'
+
+
+class Request(Enum):
+    """Requests by the answers that fit them."""
+
+    #: Read or write of a caller, prepared or not.
+    STATEMENT = 'statement'
+    COMMIT = 'commit'
+    BEGIN = 'begin'
+    ROLLBACK = 'rollback'
+    #: Change of the session values or prepared statements.
+    SESSION = 'session'
+    #: Request that returns the status of the backend server.
+    STATUS = 'status'
+
+
+class Verdict(Enum):
+    """What is done with an answer."""
+
+    ACCEPT = 'accept'
+    #: Ignore it, and read on.
+    SKIP = 'skip'
+    #: Close the connection, since its answers can't be assigned to its requests any more.
+    CLOSE = 'close'
+
+
+class Judgement(NamedTuple):
+    """Verdict on an answer, and how the answer is irregular."""
+
+    verdict: Verdict
+    irregularity: Irregularity | None = None
+
+
+_RECEIPT_REQUESTS = frozenset((Request.STATEMENT, Request.COMMIT))
+_ENDS = frozenset((Request.COMMIT, Request.ROLLBACK))
+_ACCEPT = Judgement(Verdict.ACCEPT)
+
+
+class AnswerAlignment:
+    """Recent answers on one connection, and its transaction state."""
+
+    __slots__ = ('_blank_ms', '_seen', 'state')
+
+    def __init__(self) -> None:
+        #: Transaction state after the last request.
+        self.state = TxState.IDLE
+        #: Times at which receipts and answers without a receipt arrived, in ms, oldest first.
+        self._seen: dict[Hashable, int] = {}
+        #: Time of the newest answer without a receipt, in ms; None if there was none.
+        self._blank_ms: int | None = None
+
+    def greet(self, now_ms: int, reply: Reply) -> bool:
+        """Record the answer to the opening of the connection; return whether it is valid."""
+        self.record(now_ms, reply)
+        return not reply.receipt and not reply.rows and reply.state is TxState.IDLE
+
+    def judge(self, now_ms: int, request: Request, reply: Reply) -> Judgement:
+        """Judge an answer that arrived while a request was in progress."""
+        judgement = self._judge(now_ms, request, reply)
+        if judgement.verdict is Verdict.ACCEPT:
+            self.state = reply.state
+        self.record(now_ms, reply)
+        return judgement
+
+    def judge_unsolicited(self, now_ms: int, reply: Reply) -> Judgement:
+        """Judge an answer that began to arrive before the request in progress was sent."""
+        repeated = self.was_seen(now_ms, reply)
+        self.record(now_ms, reply)
+        verdict = Verdict.SKIP if repeated else Verdict.CLOSE
+        return Judgement(verdict, Irregularity.UNSOLICITED)
+
+    def was_seen(self, now_ms: int, reply: Reply) -> bool:
+        """Return whether an equal answer arrived before, so that this one may repeat it."""
+        seen_ms = self._seen.get(reply if _is_blank(reply) else reply.receipt)
+        return seen_ms is not None and now_ms - seen_ms <= ANSWER_MEMORY_MS
+
+    def record(self, now_ms: int, reply: Reply) -> None:
+        """Remember an answer."""
+        key: Hashable = reply.receipt
+        if _is_blank(reply):
+            key = reply
+            if reply.receipt or reply.refusal is not None:
+                self._blank_ms = now_ms
+        self._seen.pop(key, None)
+        self._seen[key] = now_ms
+        self.forget(now_ms)
+
+    def forget(self, now_ms: int) -> None:
+        """Forget the answers that can't be repeated any more."""
+        while self._seen:
+            oldest = next(iter(self._seen))
+            if now_ms - self._seen[oldest] <= ANSWER_MEMORY_MS:
+                return
+            del self._seen[oldest]
+
+    def judge_success(self, now_ms: int, request: Request, reply: Reply) -> Judgement:
+        """Judge an answer without a refusal."""
+        seen = self.was_seen(now_ms, reply)
+        if not reply.receipt:
+            return _repeated_or(seen, Irregularity.MALFORMED)
+        takes_receipt = request in _RECEIPT_REQUESTS
+        if reply.receipt != NO_RECEIPT:
+            if seen:
+                return Judgement(Verdict.SKIP, Irregularity.REPEATED_RECEIPT)
+            if not takes_receipt:
+                return Judgement(Verdict.CLOSE, Irregularity.UNEXPECTED_RECEIPT)
+        elif takes_receipt:
+            repeated = seen or (self._has_blank(now_ms) and not reply.rows)
+            return _repeated_or(repeated, Irregularity.MISSING_RECEIPT)
+        elif len(reply.rows) != (1 if request is Request.STATUS else 0):
+            return _repeated_or(seen, Irregularity.UNEXPECTED_ROWS)
+        if not self._fits_success(request, reply):
+            return _repeated_or(seen and not takes_receipt, Irregularity.UNEXPECTED_STATE)
+        return _ACCEPT
+
+    def fits_refusal(self, request: Request, reply: Reply) -> bool:
+        """Return whether the state after a refusal is possible."""
+        if request in _ENDS:
+            return True
+        if self.state is TxState.OPEN:
+            return reply.state is not TxState.IDLE
+        return reply.state is self.state
+
+    def _judge(self, now_ms: int, request: Request, reply: Reply) -> Judgement:
+        if reply.refusal is None:
+            return self.judge_success(now_ms, request, reply)
+        if not self.fits_refusal(request, reply):
+            return _repeated_or(self.was_seen(now_ms, reply), Irregularity.UNEXPECTED_STATE)
+        return _ACCEPT
+
+    def _fits_success(self, request: Request, reply: Reply) -> bool:
+        if request is Request.BEGIN:
+            return self.state is TxState.IDLE and reply.state is TxState.OPEN
+        if request is Request.ROLLBACK:
+            return reply.state is TxState.IDLE
+        if self.state is TxState.FAILED:
+            # Only a rollback succeeds in a failed transaction; a COMMIT rolls back as well.
+            return False
+        return reply.state is (TxState.IDLE if request is Request.COMMIT else self.state)
+
+    def _has_blank(self, now_ms: int) -> bool:
+        return self._blank_ms is not None and now_ms - self._blank_ms <= ANSWER_MEMORY_MS
+
+
+def _repeated_or(repeated: bool, irregularity: Irregularity) -> Judgement:
+    if repeated:
+        return Judgement(Verdict.SKIP, Irregularity.REPEATED_ANSWER)
+    return Judgement(Verdict.CLOSE, irregularity)
+
+
+def _is_blank(reply: Reply) -> bool:
+    return reply.receipt in ('', NO_RECEIPT)
--- a/godwitthread/gateway/ports.py
+++ b/godwitthread/gateway/ports.py
@@ -45,9 +45,12 @@
     values: dict[str, str]
     prepared: set[str]
     closed: bool
-    state: TxState
     used_ms: int
 
+    @property
+    def state(self) -> TxState:
+        """Return the transaction state after the last request."""
+
     def alive(self) -> bool:
         """Return whether an idle connection is still open."""
 
--- a/godwitthread/platform/gateway_process.py
+++ b/godwitthread/platform/gateway_process.py
@@ -17,7 +17,7 @@
 from godwitthread import loop
 from godwitthread.clock import Clock
 from godwitthread.core import ownership
-from godwitthread.core.answer_audit import Irregularity
+from godwitthread.core.answer_alignment import Irregularity
 from godwitthread.core.catalog import Peer
 from godwitthread.errors import ProxyError
 from godwitthread.events import EventLog, HybridLogicalClock
--- a/godwitthread/platform/member_connection.py
+++ b/godwitthread/platform/member_connection.py
@@ -6,20 +6,24 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from godwitthread.clock import Clock
-from godwitthread.core.answer_audit import AnswerAudit, Irregularity
-from godwitthread.core.memory_budget import SMALL_BYTES
+from godwitthread.core.answer_alignment import (
+    AnswerAlignment,
+    Irregularity,
+    Judgement,
+    Request,
+    Verdict,
+)
 from godwitthread.core.statements import Refusal, Reply, TxState
 from godwitthread.gateway.ports import MemberStatus, NotConnectedError
+from godwitthread.platform.answer_reader import AnswerReader, MalformedAnswerError
 from godwitthread.platform.line_protocol import (
     GATEWAY_STATEMENT_ID,
-    LineReader,
-    LineTooLongError,
     encode,
     format_position,
     parse_number,
     parse_position,
 )
-from godwitthread.sockets import connect, has_no_input, shutdown_socket
+from godwitthread.sockets import connect, shutdown_socket
 
 if TYPE_CHECKING:
     from godwitthread.core.catalog import Member
@@ -29,17 +33,18 @@
 #: Time-out for opening a connection, in ms; connection setup takes 10 to 30 ms at an idle member.
 CONNECT_TIMEOUT_MS = 400
 
-_REFUSALS = {
-    'BUSY': Refusal.BUSY,
-    'NOSTMT': Refusal.UNPREPARED,
-    'LAGGING': Refusal.BEHIND,
-    'READONLY': Refusal.READ_ONLY,
-    'WRONGNODE': Refusal.WRONG_MEMBER,
-    'TOOMANY': Refusal.TOO_MANY,
-    'FAILED': Refusal.FAILED,
-    'TIMEOUT': Refusal.TIMEOUT,
+#: Requests of the gateway itself that are no session commands.
+_REQUESTS = {
+    'BEGIN': Request.BEGIN,
+    'ROLLBACK': Request.ROLLBACK,
+    'STATUS': Request.STATUS,
+    'PAUSE': Request.STATUS,
+    'RESUME': Request.STATUS,
 }
-_STATES = {'I': TxState.IDLE, 'T': TxState.OPEN, 'E': TxState.FAILED}
+
+
+class MisalignedError(Exception):
+    """Raised when the answers can't be assigned to the requests any more."""
 
 
 class ConnectionObserver(NamedTuple):
@@ -71,63 +76,81 @@
         self.prepared: set[str] = set()
         #: Whether the connection is no longer usable.
         self.closed = False
-        #: Transaction state in the last response of the member.
-        self.state = TxState.IDLE
         #: Time of the last use, in ms.
         self.used_ms = 0
         self._sock = sock
         #: Whether a green thread is waiting for a response.
         self._waiting = False
-        self._reader = LineReader(sock)
         self._member_id = member_id
         self._observer = observer
-        self._audit = AnswerAudit()
-        self._counted = self._row_bytes = 0
-        if observer is not None:
-            self._reader.on_partial = self._note_received
-            self._reader.on_control_byte = observer.note_line
+        self._clock = observer.clock if observer else Clock()
+        self._alignment = AnswerAlignment()
+        if observer is None:
+            self._answers = AnswerReader(sock)
+        else:
+            self._answers = AnswerReader(sock, observer.count_bytes, observer.note_line)
 
-    def alive(self) -> bool:
-        """Return whether an idle connection is still open.
+    @property
+    def state(self) -> TxState:
+        """Return the transaction state after the last request."""
+        return self._alignment.state
 
-        A member never sends unsolicited data, so any input means that it closed the connection.
-        """
-        if self.closed:
-            return False
-        if not has_no_input(self._sock):
+    def alive(self) -> bool:
+        """Return whether an idle connection can be used; drop the repeated answers on it."""
+        if self.closed or self._waiting:
+            return not self.closed
+        now_ms = self._clock.now_ms()
+        self._alignment.forget(now_ms)
+        try:
+            while (reply := self._answers.poll()) is not None:
+                judgement = self._alignment.judge_unsolicited(now_ms, reply)
+                if not self._may_read_on('', judgement):
+                    self.close()
+                    return False
+        except (OSError, MalformedAnswerError) as exc:
+            self._lose('', exc)
             self.close()
         return not self.closed
 
     def read_greeting(self) -> Reply:
         """Read the member's response to the `START` line."""
-        return self._read_reply()
+        self._waiting, valid = True, False
+        try:
+            reply = self._answers.read()
+            valid = reply.refusal is None and self._alignment.greet(self._clock.now_ms(), reply)
+            if valid or reply.refusal is not None:
+                return reply
+            raise MalformedAnswerError('invalid response to START')
+        except (OSError, MalformedAnswerError) as exc:
+            # The member closes the connection after it has refused `START`.
+            return self._answers.refused or self._lose('', exc)
+        finally:
+            self._end_wait(valid)
 
     def run(
         self, statement_id: str, text: str, timeout_ms: int, after: Position | None = None
     ) -> Reply:
-        """Run a statement; close the connection if no response arrives within the time-out.
+        """Run a statement; close the connection unless its own answer arrives in time.
 
         If `after` is given, the member refuses the statement unless its log has reached
         that position.
         """
+        if self._waiting:
+            # Another green thread waits for an answer that could be taken for this one.
+            self.close()
+        if not self.alive():
+            return Reply(refusal=Refusal.UNREACHABLE, message='connection is closed')
+        request = _request_of(statement_id, text)
+        self._waiting, answered = True, False
         try:
-            # The time-out applies to each read, not to the whole response; a member that
-            # responds slowly line by line is still processing the statement.
-            self._waiting = True
-            if self._reader.has_input():
-                self._report(statement_id, Irregularity.UNSOLICITED)
-            self._sock.settimeout(max(1, timeout_ms) / 1000)
-            self._sock.sendall(encode(f'QUERY {statement_id} {_add_position(text, after)}'))
-            reply = self._read_reply()
-            self._audit_reply(statement_id, reply)
+            line = f'QUERY {statement_id} {_add_position(text, after)}'
+            reply = self._exchange(request, statement_id, line, timeout_ms)
+            answered = True
             return reply
-        except OSError as exc:
-            self.closed = True
-            return Reply(refusal=Refusal.LOST, message=str(exc))
+        except (OSError, MalformedAnswerError, MisalignedError) as exc:
+            return self._lose(statement_id, exc)
         finally:
-            self._waiting = False
-            if self.closed:
-                self._sock.close()
+            self._end_wait(answered)
 
     def execute(
         self,
@@ -160,8 +183,11 @@
         )
 
     def rollback(self, timeout_ms: int) -> Reply:
-        """Roll back the transaction."""
-        return self.run(GATEWAY_STATEMENT_ID, 'ROLLBACK', timeout_ms)
+        """Roll back the transaction; close the connection if that is refused."""
+        reply = self.run(GATEWAY_STATEMENT_ID, 'ROLLBACK', timeout_ms)
+        if reply.refusal is not None:
+            self.close()
+        return reply
 
     def status(self, timeout_ms: int) -> MemberStatus | None:
         """Query the member's status; return None if there is no valid response."""
@@ -182,6 +208,7 @@
             shutdown_socket(self._sock)
         else:
             self._sock.close()
+            self._answers.discard()
 
     def _query_status(self, text: str, timeout_ms: int) -> MemberStatus | None:
         reply = self.run(GATEWAY_STATEMENT_ID, text, timeout_ms)
@@ -195,75 +222,60 @@
         return MemberStatus(fields[0] == 'primary', term, received, paused_term or 0)
 
     def _run_internal(self, text: str, timeout_ms: int) -> bool:
-        return self.run(GATEWAY_STATEMENT_ID, text, timeout_ms).refusal is None
-
-    def _note_received(self, partial_bytes: int) -> None:
-        size = self._row_bytes + partial_bytes
-        if self._observer is not None and (size > SMALL_BYTES or self._counted):
-            self._observer.count_bytes(size - self._counted)
-            self._counted = size
-
-    def _audit_reply(self, statement_id: str, reply: Reply) -> None:
-        if self._observer is None:
-            return
-        takes_receipt = statement_id != GATEWAY_STATEMENT_ID
-        now_ms = self._observer.clock.now_ms()
-        irregularity = self._audit.check(now_ms, reply, takes_receipt=takes_receipt)
-        if irregularity is not None:
-            self._report(statement_id, irregularity)
+        if self.run(GATEWAY_STATEMENT_ID, text, timeout_ms).refusal is None:
+            return True
+        # The session state on the member is not known.
+        self.close()
+        return False
+
+    def _exchange(self, request: Request, statement_id: str, line: str, timeout_ms: int) -> Reply:
+        end_ms = self._clock.now_ms() + timeout_ms
+        # An answer that has arrived in part can't be that to a request which is sent now.
+        unsolicited = self._answers.in_answer
+        # The time-out applies to each read, not to the whole response; a member that responds
+        # slowly line by line is still processing the statement.
+        self._sock.settimeout(max(1, timeout_ms) / 1000)
+        self._sock.sendall(encode(line))
+        while True:
+            reply = self._answers.read()
+            now_ms = self._clock.now_ms()
+            if unsolicited:
+                judgement = self._alignment.judge_unsolicited(now_ms, reply)
+            else:
+                judgement = self._alignment.judge(now_ms, request, reply)
+            unsolicited = False
+            if judgement.verdict is Verdict.ACCEPT:
+                return reply
+            if not self._may_read_on(statement_id, judgement):
+                raise MisalignedError('the answer is not that to the request')
+            self._limit_wait(end_ms)
+
+    def _limit_wait(self, end_ms: int) -> None:
+        left_ms = end_ms - self._clock.now_ms()
+        if left_ms <= 0:
+            raise TimeoutError('no answer to the request in time')
+        self._sock.settimeout(left_ms / 1000)
+
+    def _may_read_on(self, statement_id: str, judgement: Judgement) -> bool:
+        if judgement.irregularity is not None:
+            self._report(statement_id, judgement.irregularity)
+        return judgement.verdict is Verdict.SKIP
+
+    def _lose(self, statement_id: str, exc: Exception) -> Reply:
+        if isinstance(exc, MalformedAnswerError):
+            self._report(statement_id, Irregularity.MALFORMED)
+        return Reply(refusal=Refusal.LOST, message=f'{type(exc).__name__}: {exc}')
+
+    def _end_wait(self, answered: bool) -> None:
+        """Close the connection if an answer was not read to its end, for whatever reason."""
+        self._waiting = False
+        if self.closed or not answered:
+            self.close()
 
     def _report(self, statement_id: str, irregularity: Irregularity) -> None:
         if self._observer is not None:
             self._observer.report(self._member_id, statement_id, irregularity)
 
-    def _read_reply(self) -> Reply:
-        try:
-            return self._read_lines()
-        finally:
-            self._row_bytes = 0
-            if self._counted:
-                self._note_received(0)
-
-    def _read_lines(self) -> Reply:
-        rows: list[str] = []
-        receipt, refusal, message = '', None, ''
-        if self.closed:
-            return Reply(refusal=Refusal.LOST, message='connection is already closed')
-        try:
-            while True:
-                line = self._reader.read()
-                if line is None:
-                    raise ConnectionResetError('connection closed by the member')
-                message_type, _, rest = line.partition(' ')
-                if message_type == 'ROW':
-                    rows.append(rest)
-                    self._row_bytes += len(rest)
-                elif message_type == 'DONE':
-                    receipt = rest
-                elif message_type == 'ERR':
-                    code, _, message = rest.partition(' ')
-                    # An unknown code does not guarantee that the statement had no effect.
-                    refusal = _REFUSALS.get(code, Refusal.FAILED)
-                elif message_type == 'READY':
-                    state, _, position = rest.partition(' ')
-                    self.state = _STATES.get(state, TxState.FAILED)
-                    return Reply(
-                        tuple(rows),
-                        receipt,
-                        refusal,
-                        message,
-                        self.state,
-                        parse_position(position),
-                    )
-                else:
-                    raise ConnectionResetError(f'unexpected message type {message_type!r}')
-        except (OSError, LineTooLongError) as exc:
-            self.closed = True
-            if refusal is not None and not receipt:
-                # The member closes the connection after it has refused `START`.
-                return Reply(refusal=refusal, message=message)
-            return Reply(refusal=Refusal.LOST, message=f'{type(exc).__name__}: {exc}')
-
 
 def open_connection(
     member: Member, organisation: str, observer: ConnectionObserver | None = None
@@ -271,20 +283,35 @@
     """Connect to a member and verify its identity; raise NotConnectedError."""
     try:
         sock = connect(member.address, CONNECT_TIMEOUT_MS)
-        sock.settimeout(CONNECT_TIMEOUT_MS / 1000)
-        sock.sendall(encode(f'START {member.group} {organisation} {member.id}'))
     except OSError as exc:
-        error = NotConnectedError(Refusal.UNREACHABLE, f'{type(exc).__name__}: {exc}')
-        error.port_closed = isinstance(exc, ConnectionRefusedError)
-        raise error from exc
+        raise _not_connected(exc) from exc
     conn = MemberConnection(sock, organisation, member.id, observer)
+    try:
+        sock.settimeout(CONNECT_TIMEOUT_MS / 1000)
+        sock.sendall(encode(f'START {member.group} {organisation} {member.id}'))
+    except BaseException as exc:
+        conn.close()
+        if isinstance(exc, OSError):
+            raise _not_connected(exc) from exc
+        raise
     reply = conn.read_greeting()
     if reply.refusal is not None:
-        conn.close()
         refusal = Refusal.UNREACHABLE if reply.refusal is Refusal.LOST else reply.refusal
         raise NotConnectedError(refusal, reply.message)
     return conn, reply
 
 
+def _not_connected(exc: OSError) -> NotConnectedError:
+    error = NotConnectedError(Refusal.UNREACHABLE, f'{type(exc).__name__}: {exc}')
+    error.port_closed = isinstance(exc, ConnectionRefusedError)
+    return error
+
+
+def _request_of(statement_id: str, text: str) -> Request:
+    if statement_id != GATEWAY_STATEMENT_ID:
+        return Request.COMMIT if text == 'COMMIT' else Request.STATEMENT
+    return _REQUESTS.get(text.partition(' ')[0], Request.SESSION)
+
+
 def _add_position(text: str, position: Position | None) -> str:
     return f'AFTER {format_position(position)} {text}' if position else text
--- /dev/null
+++ b/tests/test_wire/test_answer_alignment.py
@@ -0,0 +1,97 @@
+"""Which request an answer belongs to, decided by its content and its order."""
+
+from __future__ import annotations
+
+import pytest
+
+from godwitthread.core.answer_alignment import (
+    ANSWER_MEMORY_MS,
+    AnswerAlignment,
+    Irregularity,
+    Request,
+    Verdict,
+)
+from godwitthread.core.statements import TxState
+from tests.test_wire.answers import GREETING, done, refused
+
+IDLE, OPEN, FAILED = TxState.IDLE, TxState.OPEN, TxState.FAILED
+STATUS_ROW = 'replica 3 3.9 0 0 0 1'
+
+
+def aligned(state=IDLE, *exchanges) -> AnswerAlignment:
+    """Return the state of a connection after its greeting, BEGIN in state T, and exchanges."""
+    alignment = AnswerAlignment()
+    assert alignment.greet(0, GREETING)
+    if state is OPEN:
+        exchanges = ((Request.BEGIN, done(state=OPEN)), *exchanges)
+    for request, reply in exchanges:
+        assert alignment.judge(0, request, reply).verdict is Verdict.ACCEPT
+    return alignment
+
+
+@pytest.mark.parametrize('state', [IDLE, OPEN])
+@pytest.mark.parametrize(
+    ('request_', 'answer'),
+    [
+        (Request.STATEMENT, done('r1', 'x')),
+        (Request.SESSION, done()),
+        (Request.STATUS, done('-', STATUS_ROW)),
+        (None, GREETING),
+    ],
+)
+def test_a_repeated_answer_is_not_that_to_the_next_statement(state, request_, answer):
+    """Guard against rows and refusals of an earlier request (MIXED, REFUSED)."""
+    if request_ is not None:
+        answer = answer._replace(state=state)
+    alignment = aligned(state, *([(request_, answer)] if request_ else ()))
+    assert alignment.judge_unsolicited(1, answer).verdict is Verdict.SKIP
+    assert alignment.judge(2, Request.STATEMENT, answer).verdict is Verdict.SKIP
+    own = done('r2', 'y', state=state)
+    assert alignment.judge(3, Request.STATEMENT, own).verdict is Verdict.ACCEPT
+
+
+@pytest.mark.parametrize('answer', [done('r1'), done('-', offset=8), refused(offset=8)])
+def test_an_unknown_answer_without_a_request_ends_the_connection(answer):
+    """Guard against a connection that goes on with each answer that of the request before."""
+    alignment = aligned(IDLE, (Request.SESSION, done()), (Request.SESSION, refused()))
+    assert alignment.judge_unsolicited(1, answer).verdict is Verdict.CLOSE
+
+
+@pytest.mark.parametrize(
+    ('before', 'request_', 'answer', 'kind'),
+    [
+        (IDLE, Request.STATEMENT, done('-'), Irregularity.MISSING_RECEIPT),
+        (OPEN, Request.COMMIT, done('-', 'x'), Irregularity.MISSING_RECEIPT),
+        (IDLE, Request.STATEMENT, GREETING._replace(position=None), Irregularity.MALFORMED),
+        (IDLE, Request.BEGIN, done('r1', state=OPEN), Irregularity.UNEXPECTED_RECEIPT),
+        (IDLE, Request.SESSION, done('-', 'x'), Irregularity.UNEXPECTED_ROWS),
+        (IDLE, Request.STATUS, done('-'), Irregularity.UNEXPECTED_ROWS),
+        (IDLE, Request.BEGIN, done('-'), Irregularity.UNEXPECTED_STATE),
+        (OPEN, Request.ROLLBACK, done('-', state=OPEN, offset=8), Irregularity.UNEXPECTED_STATE),
+        (IDLE, Request.STATEMENT, done('r1', state=OPEN), Irregularity.UNEXPECTED_STATE),
+        (OPEN, Request.STATEMENT, done('r1'), Irregularity.UNEXPECTED_STATE),
+        (OPEN, Request.COMMIT, done('r1', state=OPEN), Irregularity.UNEXPECTED_STATE),
+        (OPEN, Request.STATEMENT, refused(), Irregularity.UNEXPECTED_STATE),
+        (IDLE, Request.STATEMENT, refused(state=FAILED), Irregularity.UNEXPECTED_STATE),
+    ],
+)
+def test_an_answer_that_can_not_be_that_to_the_request_ends_the_connection(
+    before, request_, answer, kind
+):
+    """Guard against the success of a request that another answer reports."""
+    assert aligned(before).judge(1, request_, answer) == (Verdict.CLOSE, kind)
+
+
+def test_a_commit_of_a_failed_transaction_does_not_succeed():
+    """Guard against an acknowledged transaction that was rolled back."""
+    alignment = aligned(OPEN)
+    assert alignment.judge(1, Request.COMMIT, refused(state=FAILED)).verdict is Verdict.ACCEPT
+    assert alignment.judge(2, Request.COMMIT, done('r1')).verdict is Verdict.CLOSE
+
+
+def test_answers_are_forgotten_when_they_can_not_be_repeated_any_more():
+    """Guard against memory that grows with the number of statements on a connection."""
+    exchanges = [(Request.STATEMENT, done(f'r{number}')) for number in range(100)]
+    alignment = aligned(IDLE, *exchanges)
+    alignment.forget(ANSWER_MEMORY_MS + 1)
+    assert not alignment._seen
