Confirm a refusal that may be that of an earlier request

Callers were told that a write had not run although it ran, and sent it again. A refusal has no receipt, so that a second copy of it can't be told from the refusal of the statement in flight, and `BUSY`, `READONLY` and the like are promises.

Where a connection has received an answer without a receipt within 15 s, a refusal of a read, write, COMMIT or BEGIN is followed by requests that take no slot: PREPARE and DEALLOC of a name that no session uses, or ROLLBACK in a failed transaction. A member answers in order, so that an own answer of the statement arrives before theirs, and then counts; two refusals count as the weaker promise. The wait ends with the time of the statement, at most after 400 ms; without an outcome the connection is closed and the outcome unknown. A session command that was answered by a possible repeat, followed by a refusal that no statement owns, counts as refused, so that no statement is trusted under the values of another session. The metric counts confirmations; they are not logged.

--- a/godwitthread/core/answer_alignment.py
+++ b/godwitthread/core/answer_alignment.py
@@ -9,13 +9,11 @@
 from enum import Enum
 from typing import TYPE_CHECKING, NamedTuple
 
-from godwitthread.core.statements import TxState
+from godwitthread.core.statements import NOT_RUN, Refusal, Reply, TxState
 
 if TYPE_CHECKING:
     from collections.abc import Hashable
 
-    from godwitthread.core.statements import Reply
-
 #: Receipt of an answer to a request that takes none.
 NO_RECEIPT = '-'
 #: Time for which an answer is remembered, in ms. Backend servers execute and answer some requests
@@ -32,6 +30,12 @@
     REPEATED_RECEIPT = 'repeated_receipt'
     #: An earlier answer without a receipt arrived again.
     REPEATED_ANSWER = 'repeated_answer'
+    #: A refusal was that of an earlier request; the answer to the statement followed.
+    REPEATED_REFUSAL = 'repeated_refusal'
+    #: A refusal that might have been repeated was that of the statement.
+    CONFIRMED_REFUSAL = 'confirmed_refusal'
+    #: A refusal that might have been repeated could not be confirmed.
+    UNCONFIRMED_REFUSAL = 'unconfirmed_refusal'
     #: A statement succeeded without a receipt.
     MISSING_RECEIPT = 'missing_receipt'
     #: A request of the gateway itself was answered with a receipt.
@@ -64,6 +68,8 @@
     ACCEPT = 'accept'
     #: Ignore it, and read on.
     SKIP = 'skip'
+    #: Find out whether the refusal is that of the request.
+    CONFIRM = 'confirm'
     #: Close the connection, since its answers can't be assigned to its requests any more.
     CLOSE = 'close'
 
@@ -76,14 +82,16 @@
 
 
 _RECEIPT_REQUESTS = frozenset((Request.STATEMENT, Request.COMMIT))
+_CONFIRMED_REQUESTS = _RECEIPT_REQUESTS | {Request.BEGIN}
 _ENDS = frozenset((Request.COMMIT, Request.ROLLBACK))
 _ACCEPT = Judgement(Verdict.ACCEPT)
+_CONFIRM = Judgement(Verdict.CONFIRM)
 
 
 class AnswerAlignment:
     """Recent answers on one connection, and its transaction state."""
 
-    __slots__ = ('_blank_ms', '_seen', 'state')
+    __slots__ = ('_blank_ms', '_doubtful', '_seen', 'state')
 
     def __init__(self) -> None:
         #: Transaction state after the last request.
@@ -92,6 +100,8 @@
         self._seen: dict[Hashable, int] = {}
         #: Time of the newest answer without a receipt, in ms; None if there was none.
         self._blank_ms: int | None = None
+        #: Accepted answer without a receipt that may have been that to an earlier request.
+        self._doubtful: Reply | None = None
 
     def greet(self, now_ms: int, reply: Reply) -> bool:
         """Record the answer to the opening of the connection; return whether it is valid."""
@@ -102,17 +112,31 @@
         """Judge an answer that arrived while a request was in progress."""
         judgement = self._judge(now_ms, request, reply)
         if judgement.verdict is Verdict.ACCEPT:
-            self.state = reply.state
+            self._accept(now_ms, request, reply)
         self.record(now_ms, reply)
         return judgement
 
     def judge_unsolicited(self, now_ms: int, reply: Reply) -> Judgement:
         """Judge an answer that began to arrive before the request in progress was sent."""
         repeated = self.was_seen(now_ms, reply)
+        doubtful = self._doubtful
+        if repeated and _is_blank(reply) and doubtful is not None:
+            # It may be the own answer of a request for which an earlier answer was accepted.
+            repeated = reply.refusal is doubtful.refusal
         self.record(now_ms, reply)
         verdict = Verdict.SKIP if repeated else Verdict.CLOSE
         return Judgement(verdict, Irregularity.UNSOLICITED)
 
+    def resolve(self, confirmation: Confirmation) -> bool:
+        """Accept the outcome of a confirmation; return False if the connection is to be closed."""
+        # The refusal that was not the statement's own may be that of a request of the gateway
+        # itself, which seemed to succeed because of a repeated answer.
+        succeeded = confirmation.answer.refusal is None
+        if confirmation.failed or (succeeded and self._doubtful is not None):
+            return False
+        self.state = confirmation.state
+        return True
+
     def was_seen(self, now_ms: int, reply: Reply) -> bool:
         """Return whether an equal answer arrived before, so that this one may repeat it."""
         seen_ms = self._seen.get(reply if _is_blank(reply) else reply.receipt)
@@ -170,6 +194,8 @@
             return self.judge_success(now_ms, request, reply)
         if not self.fits_refusal(request, reply):
             return _repeated_or(self.was_seen(now_ms, reply), Irregularity.UNEXPECTED_STATE)
+        if request in _CONFIRMED_REQUESTS and self._has_blank(now_ms):
+            return _CONFIRM
         return _ACCEPT
 
     def _fits_success(self, request: Request, reply: Reply) -> bool:
@@ -182,10 +208,94 @@
             return False
         return reply.state is (TxState.IDLE if request is Request.COMMIT else self.state)
 
+    def _accept(self, now_ms: int, request: Request, reply: Reply) -> None:
+        confirmable = request in _CONFIRMED_REQUESTS and reply.refusal is not None
+        if request in _RECEIPT_REQUESTS and reply.refusal is None:
+            self._doubtful = None
+        elif not confirmable and self.was_seen(now_ms, reply):
+            self._doubtful = reply
+        self.state = reply.state
+
     def _has_blank(self, now_ms: int) -> bool:
         return self._blank_ms is not None and now_ms - self._blank_ms <= ANSWER_MEMORY_MS
 
 
+class Confirmation:
+    """Search for the own answer of a request whose refusal may be that of an earlier one.
+
+    Requests of the gateway itself are sent behind it. Answers come in order, so that an own answer
+    of the request arrives before theirs.
+    """
+
+    def __init__(self, alignment: AnswerAlignment, request: Request, refusal: Reply) -> None:
+        self._alignment = alignment
+        self._request = request
+        #: Answer to the request, as far as it is known.
+        self.answer = refusal
+        #: Requests to send, one after another: PREPARE and DEALLOC of a name that is not used
+        #: otherwise. A failed transaction accepts nothing but its end.
+        self.probes: tuple[Request, ...] = (Request.SESSION, Request.SESSION)
+        if refusal.state is TxState.FAILED:
+            self.probes = (Request.ROLLBACK,)
+        #: Number of probes that were answered.
+        self.answered = 0
+        #: Whether the answers can't be assigned to the requests.
+        self.failed = False
+
+    @property
+    def state(self) -> TxState:
+        """Return the transaction state after the last answer."""
+        return TxState.IDLE if self.probes[0] is Request.ROLLBACK else self.answer.state
+
+    def add(self, now_ms: int, reply: Reply) -> None:
+        """Process the next answer."""
+        seen = self._alignment.was_seen(now_ms, reply)
+        if reply.refusal is not None:
+            known = self._add_refusal(reply)
+        elif _is_blank(reply):
+            known = self._add_blank(reply)
+        else:
+            known = self._add_success(now_ms, reply)
+        self._alignment.record(now_ms, reply)
+        self.failed = self.failed or not (known or seen)
+
+    def _add_refusal(self, reply: Reply) -> bool:
+        deallocates = self.answered == 1
+        succeeded = self.answer.refusal is None
+        rolls_back = self.probes[0] is Request.ROLLBACK
+        if (deallocates and reply.refusal is Refusal.UNPREPARED) or (rolls_back and succeeded):
+            self.answered += 1
+            return True
+        if succeeded or not self._alignment.fits_refusal(self._request, reply):
+            return False
+        # Either of the two refusals may be the repeated one, so that both have to promise that the
+        # request did not run.
+        if self.answer.refusal in NOT_RUN:
+            self.answer = reply
+        return True
+
+    def _add_blank(self, reply: Reply) -> bool:
+        if not reply.receipt or reply.rows:
+            return False
+        if reply.state is self.state:
+            self.answered += 1
+            return True
+        begins = self._request is Request.BEGIN and self.answer.refusal is not None
+        if begins and reply.state is TxState.OPEN:
+            self.answer = reply
+            return True
+        return False
+
+    def _add_success(self, now_ms: int, reply: Reply) -> bool:
+        judgement = self._alignment.judge_success(now_ms, self._request, reply)
+        if judgement.verdict is not Verdict.ACCEPT or self.answer.refusal is None:
+            return False
+        self.answer = reply
+        # The transaction of a statement is rolled back by the probe.
+        self.failed = self.state is not reply.state
+        return True
+
+
 def _repeated_or(repeated: bool, irregularity: Irregularity) -> Judgement:
     if repeated:
         return Judgement(Verdict.SKIP, Irregularity.REPEATED_ANSWER)
--- a/godwitthread/platform/gateway_process.py
+++ b/godwitthread/platform/gateway_process.py
@@ -259,6 +259,9 @@
 
     def _report_answer(self, member: str, statement_id: str, irregularity: Irregularity) -> None:
         self._irregular_answers[irregularity] += 1
+        if irregularity is Irregularity.CONFIRMED_REFUSAL:
+            # Not irregular, but its share shows the cost of confirmations.
+            return
         request = statement_id[:MAX_LOGGED]
         self._log.failure(
             'answer_irregular', member=member, request=request, reason=irregularity.value
--- a/godwitthread/platform/member_connection.py
+++ b/godwitthread/platform/member_connection.py
@@ -8,6 +8,7 @@
 from godwitthread.clock import Clock
 from godwitthread.core.answer_alignment import (
     AnswerAlignment,
+    Confirmation,
     Irregularity,
     Judgement,
     Request,
@@ -32,6 +33,8 @@
 
 #: Time-out for opening a connection, in ms; connection setup takes 10 to 30 ms at an idle member.
 CONNECT_TIMEOUT_MS = 400
+#: Time-out for the confirmation of a refusal, in ms; its requests take no slot of the member.
+CONFIRM_TIMEOUT_MS = 400
 
 #: Requests of the gateway itself that are no session commands.
 _REQUESTS = {
@@ -41,6 +44,11 @@
     'PAUSE': Request.STATUS,
     'RESUME': Request.STATUS,
 }
+#: Requests that confirm a refusal. No session prepares a statement of that name.
+_PROBES = {
+    (Request.ROLLBACK,): ('ROLLBACK',),
+    (Request.SESSION, Request.SESSION): ('PREPARE confirm READ q1', 'DEALLOC confirm'),
+}
 
 
 class MisalignedError(Exception):
@@ -246,10 +254,33 @@
             unsolicited = False
             if judgement.verdict is Verdict.ACCEPT:
                 return reply
+            if judgement.verdict is Verdict.CONFIRM:
+                return self._confirm(request, statement_id, reply, end_ms)
             if not self._may_read_on(statement_id, judgement):
                 raise MisalignedError('the answer is not that to the request')
             self._limit_wait(end_ms)
 
+    def _confirm(self, request: Request, statement_id: str, refusal: Reply, end_ms: int) -> Reply:
+        """Return the own answer of a request; the refusal may be that of an earlier one."""
+        search = Confirmation(self._alignment, request, refusal)
+        end_ms = min(end_ms, self._clock.now_ms() + CONFIRM_TIMEOUT_MS)
+        outcome = Irregularity.UNCONFIRMED_REFUSAL
+        try:
+            for number, text in enumerate(_PROBES[search.probes]):
+                self._limit_wait(end_ms)
+                self._sock.sendall(encode(f'QUERY {GATEWAY_STATEMENT_ID} {text}'))
+                while search.answered <= number and not search.failed:
+                    self._limit_wait(end_ms)
+                    search.add(self._clock.now_ms(), self._answers.read())
+            if not self._alignment.resolve(search):
+                raise MisalignedError('the refusal could not be confirmed')
+            outcome = Irregularity.CONFIRMED_REFUSAL
+            if search.answer is not refusal:
+                outcome = Irregularity.REPEATED_REFUSAL
+            return search.answer
+        finally:
+            self._report(statement_id, outcome)
+
     def _limit_wait(self, end_ms: int) -> None:
         left_ms = end_ms - self._clock.now_ms()
         if left_ms <= 0:
--- a/tests/test_wire/test_answer_alignment.py
+++ b/tests/test_wire/test_answer_alignment.py
@@ -7,11 +7,12 @@
 from godwitthread.core.answer_alignment import (
     ANSWER_MEMORY_MS,
     AnswerAlignment,
+    Confirmation,
     Irregularity,
     Request,
     Verdict,
 )
-from godwitthread.core.statements import TxState
+from godwitthread.core.statements import Refusal, TxState
 from tests.test_wire.answers import GREETING, done, refused
 
 IDLE, OPEN, FAILED = TxState.IDLE, TxState.OPEN, TxState.FAILED
@@ -31,21 +32,22 @@
 
 @pytest.mark.parametrize('state', [IDLE, OPEN])
 @pytest.mark.parametrize(
-    ('request_', 'answer'),
+    ('request_', 'answer', 'in_flight'),
     [
-        (Request.STATEMENT, done('r1', 'x')),
-        (Request.SESSION, done()),
-        (Request.STATUS, done('-', STATUS_ROW)),
-        (None, GREETING),
+        (Request.STATEMENT, done('r1', 'x'), Verdict.SKIP),
+        (Request.SESSION, done(), Verdict.SKIP),
+        (Request.STATUS, done('-', STATUS_ROW), Verdict.SKIP),
+        (None, GREETING, Verdict.SKIP),
+        (Request.SESSION, refused(), Verdict.CONFIRM),
     ],
 )
-def test_a_repeated_answer_is_not_that_to_the_next_statement(state, request_, answer):
+def test_a_repeated_answer_is_not_that_to_the_next_statement(state, request_, answer, in_flight):
     """Guard against rows and refusals of an earlier request (MIXED, REFUSED)."""
     if request_ is not None:
         answer = answer._replace(state=state)
     alignment = aligned(state, *([(request_, answer)] if request_ else ()))
     assert alignment.judge_unsolicited(1, answer).verdict is Verdict.SKIP
-    assert alignment.judge(2, Request.STATEMENT, answer).verdict is Verdict.SKIP
+    assert alignment.judge(2, Request.STATEMENT, answer).verdict is in_flight
     own = done('r2', 'y', state=state)
     assert alignment.judge(3, Request.STATEMENT, own).verdict is Verdict.ACCEPT
 
@@ -85,7 +87,8 @@
 def test_a_commit_of_a_failed_transaction_does_not_succeed():
     """Guard against an acknowledged transaction that was rolled back."""
     alignment = aligned(OPEN)
-    assert alignment.judge(1, Request.COMMIT, refused(state=FAILED)).verdict is Verdict.ACCEPT
+    assert alignment.judge(1, Request.COMMIT, refused(state=FAILED)).verdict is Verdict.CONFIRM
+    alignment.state = FAILED
     assert alignment.judge(2, Request.COMMIT, done('r1')).verdict is Verdict.CLOSE
 
 
@@ -95,3 +98,64 @@
     alignment = aligned(IDLE, *exchanges)
     alignment.forget(ANSWER_MEMORY_MS + 1)
     assert not alignment._seen
+
+
+BUSY, OTHER, FAILURE = refused(), refused(Refusal.BEHIND), refused(Refusal.FAILED)
+
+
+@pytest.mark.parametrize(
+    ('before', 'request_', 'refusal', 'answers', 'expected'),
+    [
+        # The refusal is that of the statement.
+        (IDLE, Request.STATEMENT, BUSY, [done(), done()], BUSY),
+        (IDLE, Request.STATEMENT, BUSY, [done(), refused(Refusal.UNPREPARED)], BUSY),
+        (IDLE, Request.STATEMENT, BUSY, [BUSY, done(), done()], BUSY),
+        (IDLE, Request.STATEMENT, BUSY, [done('r0'), done(), done()], BUSY),
+        (IDLE, Request.BEGIN, BUSY, [done(), done()], BUSY),
+        (OPEN, Request.STATEMENT, refused(state=OPEN), [done(state=OPEN)] * 2, refused(state=OPEN)),
+        (OPEN, Request.COMMIT, refused(state=FAILED), [done()], refused(state=FAILED)),
+        # It is that of an earlier one.
+        (IDLE, Request.STATEMENT, BUSY, [done('r1'), done(), done()], done('r1')),
+        (IDLE, Request.STATEMENT, BUSY, [done(), done('r1'), done()], done('r1')),
+        (IDLE, Request.STATEMENT, BUSY, [OTHER, done(), done()], OTHER),
+        (IDLE, Request.STATEMENT, BUSY, [FAILURE, done(), done()], FAILURE),
+        (IDLE, Request.STATEMENT, FAILURE, [BUSY, done(), done()], FAILURE),
+        (IDLE, Request.BEGIN, BUSY, [done(state=OPEN)] * 3, done(state=OPEN)),
+        (OPEN, Request.COMMIT, refused(state=OPEN), [done('r1'), done(), done()], done('r1')),
+        (OPEN, Request.COMMIT, refused(state=FAILED), [done('r1'), done()], done('r1')),
+        (OPEN, Request.COMMIT, refused(state=FAILED), [done('r1'), refused()], done('r1')),
+        # Nothing can tell.
+        (IDLE, Request.BEGIN, BUSY, [done(state=OPEN), done(offset=8)], None),
+        (OPEN, Request.STATEMENT, refused(state=FAILED), [done('r1', state=OPEN)], None),
+        (IDLE, Request.STATEMENT, BUSY, [done('r1', state=OPEN)], None),
+        (IDLE, Request.STATEMENT, BUSY, [done(state=OPEN)], None),
+    ],
+)
+def test_a_refusal_is_that_of_the_statement_or_gives_way_to_its_answer(
+    before, request_, refusal, answers, expected
+):
+    """Guard against a promise that a statement which runs was not run (REFUSED, TWICE)."""
+    alignment = aligned(before, (Request.STATEMENT, done('r0', state=before)))
+    alignment.record(0, BUSY)
+    assert alignment.judge(1, request_, refusal).verdict is Verdict.CONFIRM
+    search = Confirmation(alignment, request_, refusal)
+    for answer in answers:
+        assert not search.failed and search.answered < len(search.probes)
+        search.add(2, answer)
+    if expected is None:
+        assert search.failed and not alignment.resolve(search)
+    else:
+        assert search.answered == len(search.probes) and alignment.resolve(search)
+        assert search.answer == expected
+
+
+def test_a_statement_is_not_trusted_after_a_session_command_that_may_have_been_refused():
+    """Guard against a statement under values of another session (PINNED)."""
+    alignment = aligned(IDLE, (Request.SESSION, done()))
+    # The first answer again, in place of the refusal that follows.
+    assert alignment.judge(1, Request.SESSION, done()).verdict is Verdict.ACCEPT
+    assert alignment.judge(2, Request.STATEMENT, BUSY).verdict is Verdict.CONFIRM
+    search = Confirmation(alignment, Request.STATEMENT, BUSY)
+    for answer in (done('r1'), done(), done()):
+        search.add(3, answer)
+    assert not alignment.resolve(search)
