Don't send a COMMIT again in a failed transaction

A COMMIT that a member refused as busy was sent again on the same connection. If that refusal leaves the transaction failed (state E), its end rolls back, so that an accepted second COMMIT would be reported as kept.

`_run_in` repeats a statement only while the transaction is open, and ends it otherwise, which keeps the promise that nothing was kept. The test failed before: "assert '' == 'transaction_lost'"; it passes now.

--- a/godwitthread/gateway/groups/transaction_runner.py
+++ b/godwitthread/gateway/groups/transaction_runner.py
@@ -14,6 +14,7 @@
     Refusal,
     Reply,
     Result,
+    TxState,
     failure,
 )
 from godwitthread.core.usage_windows import Operation
@@ -134,7 +135,9 @@
             if reply.refusal is Refusal.BUSY:
                 self._on_not_run(tx.member, reply)
             self._record_result(tx.member, req.organisation, sent_ms, reply, kind)
-            busy = reply.refusal is Refusal.BUSY and not tx.conn.closed
+            # A failed transaction rolls back even if a later COMMIT is accepted.
+            usable = tx.conn.state is TxState.OPEN and not tx.conn.closed
+            busy = reply.refusal is Refusal.BUSY and usable
             if not busy or self._clock.now_ms() + BUSY_PAUSE_MS >= deadline_ms:
                 return sent_ms, reply
 
