Take the position of the primary from answers that can't be repeats

Reads on replicas could miss an acknowledged write: BEGIN has no receipt, so that the repeated answer to an earlier BEGIN on the connection passes for its own, with an older position that then counts as that of the primary at the time of sending. By the same answer, a former primary could pass for the present one.

A probe now counts only with the answer to its ROLLBACK. Answers come in order, so that a BEGIN that was answered by a repeat shows there, as an answer in the state of a transaction that has another content, and closes the connection; the probe is then sent once more. Reads of the primary and transactions take the position from the answer of a statement, whose fresh receipt proves that BEGIN ran. A request that was not sent because its connection was closed is no contact with the member, where it would otherwise have counted as one that refuses to lead.

The tests failed before: "assert Position(term=1, offset=5) == Position(term=1, offset=10)", "assert True is False" for the probe, "assert None == 'm0'" for the request that was not sent; they pass now.

--- a/godwitthread/gateway/groups/member_group.py
+++ b/godwitthread/gateway/groups/member_group.py
@@ -163,27 +163,10 @@
 
     def confirm_primary(self, member_id: str) -> bool:
         """Probe whether a member is the primary; any answer counts as proof that it is alive."""
-        pool = self.pools.get(member_id)
-        state = self.dispatcher.members.get(member_id)
-        organisation = self.any_organisation()
-        if pool is None or state is None or organisation is None:
-            return False
-        sent_ms, epoch = self._clock.now_ms(), self.epoch
-        try:
-            conn = pool.acquire(organisation, {}, INTERNAL_TIMEOUT_MS)
-        except NotConnectedError as exc:
-            self._log.failure('evidence_not_renewed', member=member_id, reason=exc.refusal.value)
-            self.dispatch_waiting()
-            return False
-        with self._close_on_error(member_id, conn):
-            reply = conn.begin(False, None, INTERNAL_TIMEOUT_MS)
-            if reply.refusal is not Refusal.LOST:
-                state.record_contact(self._clock.now_ms())
-            if reply.refusal is None:
-                self._record_evidence(member_id, sent_ms, epoch, reply)
-                conn.rollback(INTERNAL_TIMEOUT_MS)
-        self._release(member_id, conn)
-        return reply.refusal is None
+        confirmed = self._probe(member_id)
+        if confirmed is None:
+            confirmed = self._probe(member_id)
+        return bool(confirmed)
 
     def pause_primary_work(self, paused: bool) -> None:
         """Pause or resume the assignment of work to the primary."""
@@ -226,6 +209,34 @@
             self.dispatcher.deferred = set().union(*held)
         super().dispatch_waiting()
 
+    def _probe(self, member_id: str) -> bool | None:
+        """Return whether a member begins a transaction as the primary; None if that is unsure."""
+        pool = self.pools.get(member_id)
+        state = self.dispatcher.members.get(member_id)
+        organisation = self.any_organisation()
+        if pool is None or state is None or organisation is None:
+            return False
+        sent_ms, epoch = self._clock.now_ms(), self.epoch
+        try:
+            conn = pool.acquire(organisation, {}, INTERNAL_TIMEOUT_MS)
+        except NotConnectedError as exc:
+            self._log.failure('evidence_not_renewed', member=member_id, reason=exc.refusal.value)
+            self.dispatch_waiting()
+            return False
+        with self._close_on_error(member_id, conn):
+            begun = ended = conn.begin(False, None, INTERNAL_TIMEOUT_MS)
+            if begun.refusal is None:
+                # An earlier answer in place of that to BEGIN is noticed by the next answer.
+                ended = conn.rollback(INTERNAL_TIMEOUT_MS)
+        self._release(member_id, conn)
+        if begun.refusal is None and ended.refusal is not None:
+            return None
+        if begun.refusal not in (Refusal.LOST, Refusal.UNREACHABLE):
+            state.record_contact(self._clock.now_ms())
+        if begun.refusal is None:
+            self._record_evidence(member_id, sent_ms, epoch, begun)
+        return begun.refusal is None
+
     def _on_assigned(self, assignment: Assignment) -> None:
         if self.crossings is not None and not (assignment.work.primary or assignment.work.member):
             domain = self.dispatcher.members[assignment.member].failure_domain
@@ -280,13 +291,6 @@
             self._return_to_pool(member_id, conn)
             raise
 
-    def _release_unsent(self, member_id: str) -> None:
-        """Free the slot of a statement that was assigned but is not sent."""
-        state = self.dispatcher.members.get(member_id)
-        if state is not None:
-            state.cancel_sent()
-        self.dispatch_waiting()
-
     def _abandon(self, member_id: str, exc: Exception) -> None:
         logger.error('statement at %s failed', member_id, exc_info=exc)
         state = self.dispatcher.members.get(member_id)
@@ -328,11 +332,6 @@
             )
         self.dispatch_waiting()
 
-    def _count_traffic(self, member_id: str, req: RunRequest, reply: Reply) -> None:
-        member = self.members.get(member_id)
-        if self.crossings is not None and member is not None:
-            self.crossings.record_statement(member.failure_domain, req, reply)
-
     def _release(self, member_id: str, conn: Connection) -> None:
         self._return_to_pool(member_id, conn)
         self.dispatch_waiting()
@@ -498,6 +497,3 @@
             state.record_setup(took_ms)
         # The member may accept yet another connection, as after a trial.
         self.dispatch_waiting()
-
-    def _left_ms(self, deadline_ms: int) -> int:
-        return max(1, deadline_ms - self._clock.now_ms())
--- a/godwitthread/gateway/groups/statement_runner.py
+++ b/godwitthread/gateway/groups/statement_runner.py
@@ -7,7 +7,15 @@
 from godwitthread.core.scheduling import wait_limits
 from godwitthread.core.scheduling.member_state import WorkItem
 from godwitthread.core.scheduling.service_times import Kind
-from godwitthread.core.statements import NOT_RUN, Consistency, Refusal, Reply, Result, failure
+from godwitthread.core.statements import (
+    NOT_RUN,
+    Consistency,
+    Refusal,
+    Reply,
+    Result,
+    TxState,
+    failure,
+)
 from godwitthread.core.usage_windows import Operation
 from godwitthread.errors import ErrorKind
 from godwitthread.gateway.groups.member_group import (
@@ -215,10 +223,12 @@
             with self._close_on_error(member_id, conn):
                 reply = conn.begin(False, None, self._left_ms(deadline_ms))
                 if reply.refusal is None:
-                    self._record_evidence(member_id, sent_ms, epoch, reply)
                     reply = self._statement(conn, req, deadline_ms, None)
                     usage.ran(sent_ms, reply)
-                    if not conn.closed:
+                    if reply.refusal is None:
+                        # Its receipt proves that BEGIN ran, whose own answer may be a repeated one.
+                        self._record_evidence(member_id, sent_ms, epoch, reply)
+                    if not conn.closed and conn.state is not TxState.IDLE:
                         conn.rollback(INTERNAL_TIMEOUT_MS)
         else:
             with self._close_on_error(member_id, conn):
@@ -250,6 +260,11 @@
         name = prepared_name(req.prepared)
         return conn.execute(req.statement_id, name, req.arguments, left_ms, after)
 
+    def _count_traffic(self, member_id: str, req: RunRequest, reply: Reply) -> None:
+        member = self.members.get(member_id)
+        if self.crossings is not None and member is not None:
+            self.crossings.record_statement(member.failure_domain, req, reply)
+
     def _acquire(
         self,
         req: RunRequest,
@@ -284,6 +299,9 @@
             kind=Kind.WRITE if req.writes else Kind.READ,
         )
 
+    def _left_ms(self, deadline_ms: int) -> int:
+        return max(1, deadline_ms - self._clock.now_ms())
+
     def _hold_until(self, req: RunRequest) -> int:
         return self._clock.now_ms() + wait_limits.max_wait_ms(req.remaining_ms)
 
--- a/godwitthread/gateway/groups/transaction_runner.py
+++ b/godwitthread/gateway/groups/transaction_runner.py
@@ -161,6 +161,13 @@
         )
         self._wait_turn(work)
 
+    def _release_unsent(self, member_id: str) -> None:
+        """Free the slot of a statement that was assigned but is not sent."""
+        state = self.dispatcher.members.get(member_id)
+        if state is not None:
+            state.cancel_sent()
+        self.dispatch_waiting()
+
     def _fail_transaction(
         self, key: tuple[str, int], tx: OpenTransaction, reply: Reply, commit: bool
     ) -> Result:
@@ -210,8 +217,6 @@
                 granted, req.organisation, sent_ms, reply, Kind.TRANSACTION, timed=False
             )
             if reply.refusal is None:
-                if on_primary:
-                    self._record_evidence(granted, sent_ms, epoch, reply)
                 usage = Operation(req.organisation, self.count_usage)
                 return OpenTransaction(conn, granted, on_primary, epoch, usage)
             self._release(granted, conn)
--- a/tests/test_gateway/test_untrusted_answers.py
+++ b/tests/test_gateway/test_untrusted_answers.py
@@ -2,10 +2,67 @@
 
 from __future__ import annotations
 
-from godwitthread.core.statements import Action, Refusal, TxState
+import pytest
+
+from godwitthread.core.statements import Action, Consistency, Refusal, Reply, TxState
+from godwitthread.types import Position
 from tests.test_gateway.fakes import FakeConnection, FakeGroup, request, runner
 
 
+def lose_rollbacks(monkeypatch, group: FakeGroup, number: int) -> None:
+    """Leave the first rollbacks without an answer, as after answers that can't be assigned."""
+    rollback = FakeConnection.rollback
+
+    def lose(conn, timeout_ms):
+        lost.append(conn)
+        if len(lost) > number:
+            return rollback(conn, timeout_ms)
+        conn.close()
+        return Reply(refusal=Refusal.LOST)
+
+    lost = []
+    monkeypatch.setattr(FakeConnection, 'rollback', lose)
+
+
+@pytest.mark.parametrize(('lost', 'confirmed'), [(1, True), (2, False)])
+def test_a_primary_is_confirmed_by_two_answers_in_order(monkeypatch, lost, confirmed):
+    """Guard against evidence from the repeated answer to an earlier BEGIN (stale reads)."""
+    group = FakeGroup()
+    made = runner(group)
+    made.run('a', request('WRITE i x'))
+    known = made.evidence.newest
+    group.commit()
+    lose_rollbacks(monkeypatch, group, lost)
+    assert made.confirm_primary('m0') is confirmed
+    assert (made.evidence.newest != known) is confirmed
+
+
+@pytest.mark.parametrize('refusal', [Refusal.LOST, Refusal.UNREACHABLE])
+def test_a_probe_without_an_answer_is_no_contact(refusal):
+    """Guard against a primary that is given up because a connection to it was closed."""
+    group = FakeGroup()
+    made = runner(group)
+    made.run('a', request('WRITE i x'))
+    group.script = [('BEGIN', refusal)]
+    made.dispatcher.members['m0'].last_answer_ms = 0
+    made.renew_evidence()
+    assert made.last_primary == 'm0'
+
+
+def test_a_read_of_the_primary_proves_its_position_by_its_own_answer(monkeypatch):
+    """Guard against the position in the repeated answer to an earlier BEGIN (stale reads)."""
+    group = FakeGroup()
+    made = runner(group)
+    begin = FakeConnection.begin
+
+    def repeat(*args):
+        return begin(*args)._replace(position=Position(1, 5))
+
+    monkeypatch.setattr(FakeConnection, 'begin', repeat)
+    made.run('a', request('READ i', consistency=Consistency.PRIMARY))
+    assert made.evidence.newest == group.applied['m0']
+
+
 def test_a_commit_is_not_repeated_in_a_failed_transaction(monkeypatch):
     """Guard against an acknowledged transaction that the member has rolled back."""
     group = FakeGroup()
