Close the connection of a statement whatever ends it

A statement whose green thread is killed, or that an eventlet.Timeout ends, left its connection open among those in use, and its slot at the member occupied; a killed attempt of a read made the read wait for its deadline. Both exceptions are no Exception, which the handlers asked for. No code kills a statement today, so that callers saw nothing of this; its answer on a connection that is used again would be that of the next statement.

The handlers now take BaseException, and an attempt of a read puts its answer in every case.

--- a/godwitthread/gateway/groups/member_group.py
+++ b/godwitthread/gateway/groups/member_group.py
@@ -277,7 +277,7 @@
         """Free the slot of a statement that an unexpected error ended."""
         try:
             yield
-        except Exception as exc:
+        except BaseException as exc:
             self._abandon(member_id, exc)
             raise
 
@@ -286,12 +286,12 @@
         """Close and release a connection on which an unexpected error ended a statement."""
         try:
             yield
-        except Exception:
+        except BaseException:
             conn.close()
             self._return_to_pool(member_id, conn)
             raise
 
-    def _abandon(self, member_id: str, exc: Exception) -> None:
+    def _abandon(self, member_id: str, exc: BaseException) -> None:
         logger.error('statement at %s failed', member_id, exc_info=exc)
         state = self.dispatcher.members.get(member_id)
         if state is not None:
--- a/godwitthread/gateway/groups/statement_runner.py
+++ b/godwitthread/gateway/groups/statement_runner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from typing import TYPE_CHECKING
 
 from godwitthread.core.scheduling import wait_limits
@@ -199,14 +200,15 @@
         req: RunRequest,
         deadline_ms: int,
     ) -> None:
+        reply = Reply(refusal=Refusal.FAILED, message='internal error')
         try:
-            reply = self._try_read(work, member_id, usage, req, deadline_ms)
-        except Exception as exc:
-            self._abandon(member_id, exc)
-            reply = Reply(refusal=Refusal.FAILED, message='internal error')
-        if reply.refusal is not None and reply.refusal in NOT_RUN:
-            self._on_not_run(member_id, reply, work)
-        answers.put((member_id, reply))
+            # The error is logged where it frees the slot.
+            with contextlib.suppress(Exception), self._release_slot_on_error(member_id):
+                reply = self._try_read(work, member_id, usage, req, deadline_ms)
+            if reply.refusal in NOT_RUN:
+                self._on_not_run(member_id, reply, work)
+        finally:
+            answers.put((member_id, reply))
 
     def _try_read(
         self, work: WorkItem, member_id: str, usage: Operation, req: RunRequest, deadline_ms: int
--- a/godwitthread/gateway/groups/transaction_runner.py
+++ b/godwitthread/gateway/groups/transaction_runner.py
@@ -98,7 +98,7 @@
         try:
             with self._release_slot_on_error(tx.member):
                 sent_ms, reply = self._run_in(tx, req, deadline_ms, commit)
-        except Exception:
+        except BaseException:
             self._end_transaction(key, tx, clean=False)
             raise
         finally:
--- a/tests/test_gateway/test_untrusted_answers.py
+++ b/tests/test_gateway/test_untrusted_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+from greenlet import GreenletExit
 
 from godwitthread.core.statements import Action, Consistency, Refusal, Reply, TxState
 from godwitthread.types import Position
@@ -63,6 +64,36 @@
     assert made.evidence.newest == group.applied['m0']
 
 
+@pytest.mark.parametrize('action', [Action.SINGLE, Action.IN_TRANSACTION])
+def test_a_statement_that_is_given_up_leaves_no_open_connection(monkeypatch, action):
+    """Guard against its answer as that to the next statement on the connection (MIXED)."""
+    group = FakeGroup()
+    made = runner(group)
+
+    def leave(*_):
+        raise GreenletExit
+
+    monkeypatch.setattr(FakeConnection, 'run', leave)
+    with pytest.raises(GreenletExit):
+        made.run('a', request('WRITE i x', action))
+    assert group.connections[-1].closed
+    assert made.pools['m0'].total == made.dispatcher.members['m0'].running == 0
+
+
+def test_an_attempt_of_a_read_that_is_given_up_ends_with_a_result(monkeypatch):
+    """Guard against a slot that stays occupied, and a read that waits for its deadline."""
+    group = FakeGroup()
+    made = runner(group)
+
+    def leave(*_):
+        raise GreenletExit
+
+    monkeypatch.setattr(FakeConnection, 'begin', leave)
+    result = made.run('a', request('READ i', consistency=Consistency.PRIMARY, remaining_ms=50))
+    assert result.error and all(conn.closed for conn in group.connections)
+    assert made.pools['m0'].total == made.dispatcher.members['m0'].running == 0
+
+
 def test_a_commit_is_not_repeated_in_a_failed_transaction(monkeypatch):
     """Guard against an acknowledged transaction that the member has rolled back."""
     group = FakeGroup()
