Tell the answer to PAUSE from the status before it

A failover of a group with synchronous commits pauses its replicas, and promotes one by the positions in the answers. The repeated answer to the STATUS that precedes PAUSE on the connection passed for that of PAUSE, so that a replica that still received counted with an older position, and another one without the newest commit could be promoted. This was not observed.

PAUSE names a term above the newest one, which its answer contains, so that an answer of known content is not its own; it is skipped, and the own one follows. As a STATUS request, which it was before, the repeated answer was judged "ACCEPT"; test_the_answer_to_pause_is_not_the_status_before has "SKIP" now.

--- a/godwitthread/core/answer_alignment.py
+++ b/godwitthread/core/answer_alignment.py
@@ -60,6 +60,8 @@
     SESSION = 'session'
     #: Request that returns the status of the backend server.
     STATUS = 'status'
+    #: Request that changes the status, and returns it.
+    PAUSE = 'pause'
 
 
 class Verdict(Enum):
@@ -83,6 +85,7 @@
 
 _RECEIPT_REQUESTS = frozenset((Request.STATEMENT, Request.COMMIT))
 _CONFIRMED_REQUESTS = _RECEIPT_REQUESTS | {Request.BEGIN}
+_STATUS_REQUESTS = frozenset((Request.STATUS, Request.PAUSE))
 _ENDS = frozenset((Request.COMMIT, Request.ROLLBACK))
 _ACCEPT = Judgement(Verdict.ACCEPT)
 _CONFIRM = Judgement(Verdict.CONFIRM)
@@ -175,8 +178,11 @@
         elif takes_receipt:
             repeated = seen or (self._has_blank(now_ms) and not reply.rows)
             return _repeated_or(repeated, Irregularity.MISSING_RECEIPT)
-        elif len(reply.rows) != (1 if request is Request.STATUS else 0):
+        elif len(reply.rows) != (1 if request in _STATUS_REQUESTS else 0):
             return _repeated_or(seen, Irregularity.UNEXPECTED_ROWS)
+        elif seen and request is Request.PAUSE:
+            # The term in the row is new, so that this answer describes the time before.
+            return Judgement(Verdict.SKIP, Irregularity.REPEATED_ANSWER)
         if not self._fits_success(request, reply):
             return _repeated_or(seen and not takes_receipt, Irregularity.UNEXPECTED_STATE)
         return _ACCEPT
--- a/godwitthread/platform/member_connection.py
+++ b/godwitthread/platform/member_connection.py
@@ -41,7 +41,7 @@
     'BEGIN': Request.BEGIN,
     'ROLLBACK': Request.ROLLBACK,
     'STATUS': Request.STATUS,
-    'PAUSE': Request.STATUS,
+    'PAUSE': Request.PAUSE,
     'RESUME': Request.STATUS,
 }
 #: Requests that confirm a refusal. No session prepares a statement of that name.
--- a/tests/test_wire/test_answer_alignment.py
+++ b/tests/test_wire/test_answer_alignment.py
@@ -92,6 +92,15 @@
     assert alignment.judge(2, Request.COMMIT, done('r1')).verdict is Verdict.CLOSE
 
 
+def test_the_answer_to_pause_is_not_the_status_before():
+    """Guard against a promotion of a replica that was not paused yet (LOST)."""
+    before, after = done('-', STATUS_ROW), done('-', 'replica 3 3.9 4 0 0 1')
+    alignment = aligned(IDLE, (Request.STATUS, before))
+    assert alignment.judge(1, Request.PAUSE, before).verdict is Verdict.SKIP
+    assert alignment.judge(2, Request.PAUSE, after).verdict is Verdict.ACCEPT
+    assert alignment.judge(3, Request.STATUS, after).verdict is Verdict.ACCEPT
+
+
 def test_answers_are_forgotten_when_they_can_not_be_repeated_any_more():
     """Guard against memory that grows with the number of statements on a connection."""
     exchanges = [(Request.STATEMENT, done(f'r{number}')) for number in range(100)]
