Report a write outside its transaction as unknown

A caller could be told that a write was rolled back although it was kept: if the repeated answer to an earlier BEGIN passes for that to a BEGIN which the member refused, the write behind it runs on its own. Its answer shows the state I, which closes the connection, and the transaction was reported as lost, which promises that nothing is kept. This was not observed.

The connection keeps the state of the answer that ended it, and a write whose answer was not accepted on such a connection is reported as an unknown commit. The tests failed before: "assert 'transaction_lost' == 'commit_unknown'" and "TxState.OPEN is TxState.IDLE"; they pass now.

--- a/godwitthread/core/answer_alignment.py
+++ b/godwitthread/core/answer_alignment.py
@@ -97,7 +97,7 @@
     __slots__ = ('_blank_ms', '_doubtful', '_seen', 'state')
 
     def __init__(self) -> None:
-        #: Transaction state after the last request.
+        #: Transaction state after the last request; that in the answer which ended the connection.
         self.state = TxState.IDLE
         #: Times at which receipts and answers without a receipt arrived, in ms, oldest first.
         self._seen: dict[Hashable, int] = {}
@@ -116,6 +116,8 @@
         judgement = self._judge(now_ms, request, reply)
         if judgement.verdict is Verdict.ACCEPT:
             self._accept(now_ms, request, reply)
+        elif judgement.verdict is Verdict.CLOSE:
+            self.state = reply.state
         self.record(now_ms, reply)
         return judgement
 
@@ -127,8 +129,10 @@
             # It may be the own answer of a request for which an earlier answer was accepted.
             repeated = reply.refusal is doubtful.refusal
         self.record(now_ms, reply)
-        verdict = Verdict.SKIP if repeated else Verdict.CLOSE
-        return Judgement(verdict, Irregularity.UNSOLICITED)
+        if repeated:
+            return Judgement(Verdict.SKIP, Irregularity.UNSOLICITED)
+        self.state = reply.state
+        return Judgement(Verdict.CLOSE, Irregularity.UNSOLICITED)
 
     def resolve(self, confirmation: Confirmation) -> bool:
         """Accept the outcome of a confirmation; return False if the connection is to be closed."""
--- a/godwitthread/gateway/groups/transaction_runner.py
+++ b/godwitthread/gateway/groups/transaction_runner.py
@@ -108,7 +108,7 @@
         if tx.on_primary and reply.refusal is None and not self.may_acknowledge(tx.epoch):
             reply = Reply(refusal=Refusal.LOST, message=UNCONFIRMED)
         if reply.refusal is not None:
-            return self._fail_transaction(key, tx, reply, commit)
+            return self._fail_transaction(key, tx, req, reply)
         if tx.on_primary:
             self._record_evidence(tx.member, sent_ms, tx.epoch, reply)
         if commit:
@@ -169,13 +169,16 @@
         self.dispatch_waiting()
 
     def _fail_transaction(
-        self, key: tuple[str, int], tx: OpenTransaction, reply: Reply, commit: bool
+        self, key: tuple[str, int], tx: OpenTransaction, req: RunRequest, reply: Reply
     ) -> Result:
         assert reply.refusal is not None
+        # If an earlier answer passed for that to BEGIN, a write may have run on its own.
+        outside = req.writes and tx.conn.state is TxState.IDLE
+        commit = req.action is Action.COMMIT
         self._end_transaction(key, tx, clean=False)
         if reply.refusal is Refusal.READ_ONLY and tx.on_primary:
             self._on_leadership_lost(tx.member)
-        if commit and reply.refusal not in NOT_RUN:
+        if (commit or outside) and reply.refusal not in NOT_RUN:
             return failure(ErrorKind.COMMIT_UNKNOWN, 'the commit was not confirmed', ended=True)
         reason = f'rolled back: {reply.refusal.value}'
         return failure(ErrorKind.TRANSACTION_LOST, reason, ended=True)
--- a/tests/test_gateway/test_untrusted_answers.py
+++ b/tests/test_gateway/test_untrusted_answers.py
@@ -94,6 +94,22 @@
     assert made.pools['m0'].total == made.dispatcher.members['m0'].running == 0
 
 
+def test_a_write_that_ran_outside_its_transaction_is_unknown(monkeypatch):
+    """Guard against a promise of a rollback after the repeated answer to an earlier BEGIN."""
+    group = FakeGroup()
+    made = runner(group)
+    made.run('a', request('READ i', Action.IN_TRANSACTION, consistency=Consistency.PRIMARY))
+
+    def run(conn, *_):
+        conn.close()
+        conn.state = TxState.IDLE
+        return Reply(refusal=Refusal.LOST)
+
+    monkeypatch.setattr(FakeConnection, 'run', run)
+    result = made.run('a', request('WRITE i x', Action.IN_TRANSACTION, first=False))
+    assert result.error == 'commit_unknown'
+
+
 def test_a_commit_is_not_repeated_in_a_failed_transaction(monkeypatch):
     """Guard against an acknowledged transaction that the member has rolled back."""
     group = FakeGroup()
--- a/tests/test_wire/test_member_answers.py
+++ b/tests/test_wire/test_member_answers.py
@@ -6,7 +6,7 @@
 import pytest
 from greenlet import GreenletExit
 
-from godwitthread.core.statements import Refusal
+from godwitthread.core.statements import Refusal, TxState
 from godwitthread.loop import eventlet
 from tests.test_wire import codec
 from tests.test_wire.far_end import FarEnd
@@ -37,6 +37,14 @@
     assert end.conn.closed and len(end.reported) == 1
 
 
+def test_an_answer_outside_the_transaction_shows_that_state():
+    """Guard against a promise of a rollback for a write that ran on its own (ABORTED)."""
+    end = FarEnd()
+    end.run('-', 'BEGIN', codec.answer(b'-', state=b'T'))
+    assert end.run('1', 'WRITE a x', codec.answer(b'r1')).refusal is Refusal.LOST
+    assert end.conn.closed and end.conn.state is TxState.IDLE
+
+
 def test_a_refusal_that_was_cut_off_promises_nothing():
     """Guard against a promise by an answer whose end was lost."""
     end = FarEnd()
