--- a/godwitthread/gateway/groups/statement_runner.py
+++ b/godwitthread/gateway/groups/statement_runner.py
@@ -2,12 +2,21 @@
 
 from __future__ import annotations
 
+import contextlib
 from typing import TYPE_CHECKING
 
 from godwitthread.core.scheduling import wait_limits
 from godwitthread.core.scheduling.member_state import WorkItem
 from godwitthread.core.scheduling.service_times import Kind
-from godwitthread.core.statements import NOT_RUN, Consistency, Refusal, Reply, Result, failure
+from godwitthread.core.statements import (
+    NOT_RUN,
+    Consistency,
+    Refusal,
+    Reply,
+    Result,
+    TxState,
+    failure,
+)
 from godwitthread.core.usage_windows import Operation
 from godwitthread.errors import ErrorKind
 from godwitthread.gateway.groups.member_group import (
@@ -191,14 +200,15 @@
         req: RunRequest,
         deadline_ms: int,
     ) -> None:
+        reply = Reply(refusal=Refusal.FAILED, message='internal error')
         try:
-            reply = self._try_read(work, member_id, usage, req, deadline_ms)
-        except Exception as exc:
-            self._abandon(member_id, exc)
-            reply = Reply(refusal=Refusal.FAILED, message='internal error')
-        if reply.refusal is not None and reply.refusal in NOT_RUN:
-            self._on_not_run(member_id, reply, work)
-        answers.put((member_id, reply))
+            # The error is logged where it frees the slot.
+            with contextlib.suppress(Exception), self._release_slot_on_error(member_id):
+                reply = self._try_read(work, member_id, usage, req, deadline_ms)
+            if reply.refusal in NOT_RUN:
+                self._on_not_run(member_id, reply, work)
+        finally:
+            answers.put((member_id, reply))
 
     def _try_read(
         self, work: WorkItem, member_id: str, usage: Operation, req: RunRequest, deadline_ms: int
@@ -215,10 +225,12 @@
             with self._close_on_error(member_id, conn):
                 reply = conn.begin(False, None, self._left_ms(deadline_ms))
                 if reply.refusal is None:
-                    self._record_evidence(member_id, sent_ms, epoch, reply)
                     reply = self._statement(conn, req, deadline_ms, None)
                     usage.ran(sent_ms, reply)
-                    if not conn.closed:
+                    if reply.refusal is None:
+                        # Its receipt proves that BEGIN ran, whose own answer may be a repeated one.
+                        self._record_evidence(member_id, sent_ms, epoch, reply)
+                    if not conn.closed and conn.state is not TxState.IDLE:
                         conn.rollback(INTERNAL_TIMEOUT_MS)
         else:
             with self._close_on_error(member_id, conn):
@@ -250,6 +262,11 @@
         name = prepared_name(req.prepared)
         return conn.execute(req.statement_id, name, req.arguments, left_ms, after)
 
+    def _count_traffic(self, member_id: str, req: RunRequest, reply: Reply) -> None:
+        member = self.members.get(member_id)
+        if self.crossings is not None and member is not None:
+            self.crossings.record_statement(member.failure_domain, req, reply)
+
     def _acquire(
         self,
         req: RunRequest,
@@ -284,6 +301,9 @@
             kind=Kind.WRITE if req.writes else Kind.READ,
         )
 
+    def _left_ms(self, deadline_ms: int) -> int:
+        return max(1, deadline_ms - self._clock.now_ms())
+
     def _hold_until(self, req: RunRequest) -> int:
         return self._clock.now_ms() + wait_limits.max_wait_ms(req.remaining_ms)
 
--- a/godwitthread/gateway/groups/transaction_runner.py
+++ b/godwitthread/gateway/groups/transaction_runner.py
@@ -14,6 +14,7 @@
     Refusal,
     Reply,
     Result,
+    TxState,
     failure,
 )
 from godwitthread.core.usage_windows import Operation
@@ -97,7 +98,7 @@
         try:
             with self._release_slot_on_error(tx.member):
                 sent_ms, reply = self._run_in(tx, req, deadline_ms, commit)
-        except Exception:
+        except BaseException:
             self._end_transaction(key, tx, clean=False)
             raise
         finally:
@@ -107,7 +108,7 @@
         if tx.on_primary and reply.refusal is None and not self.may_acknowledge(tx.epoch):
             reply = Reply(refusal=Refusal.LOST, message=UNCONFIRMED)
         if reply.refusal is not None:
-            return self._fail_transaction(key, tx, reply, commit)
+            return self._fail_transaction(key, tx, req, reply)
         if tx.on_primary:
             self._record_evidence(tx.member, sent_ms, tx.epoch, reply)
         if commit:
@@ -134,7 +135,9 @@
             if reply.refusal is Refusal.BUSY:
                 self._on_not_run(tx.member, reply)
             self._record_result(tx.member, req.organisation, sent_ms, reply, kind)
-            busy = reply.refusal is Refusal.BUSY and not tx.conn.closed
+            # A failed transaction rolls back even if a later COMMIT is accepted.
+            usable = tx.conn.state is TxState.OPEN and not tx.conn.closed
+            busy = reply.refusal is Refusal.BUSY and usable
             if not busy or self._clock.now_ms() + BUSY_PAUSE_MS >= deadline_ms:
                 return sent_ms, reply
 
@@ -158,14 +161,24 @@
         )
         self._wait_turn(work)
 
+    def _release_unsent(self, member_id: str) -> None:
+        """Free the slot of a statement that was assigned but is not sent."""
+        state = self.dispatcher.members.get(member_id)
+        if state is not None:
+            state.cancel_sent()
+        self.dispatch_waiting()
+
     def _fail_transaction(
-        self, key: tuple[str, int], tx: OpenTransaction, reply: Reply, commit: bool
+        self, key: tuple[str, int], tx: OpenTransaction, req: RunRequest, reply: Reply
     ) -> Result:
         assert reply.refusal is not None
+        # If an earlier answer passed for that to BEGIN, a write may have run on its own.
+        outside = req.writes and tx.conn.state is TxState.IDLE
+        commit = req.action is Action.COMMIT
         self._end_transaction(key, tx, clean=False)
         if reply.refusal is Refusal.READ_ONLY and tx.on_primary:
             self._on_leadership_lost(tx.member)
-        if commit and reply.refusal not in NOT_RUN:
+        if (commit or outside) and reply.refusal not in NOT_RUN:
             return failure(ErrorKind.COMMIT_UNKNOWN, 'the commit was not confirmed', ended=True)
         reason = f'rolled back: {reply.refusal.value}'
         return failure(ErrorKind.TRANSACTION_LOST, reason, ended=True)
@@ -207,8 +220,6 @@
                 granted, req.organisation, sent_ms, reply, Kind.TRANSACTION, timed=False
             )
             if reply.refusal is None:
-                if on_primary:
-                    self._record_evidence(granted, sent_ms, epoch, reply)
                 usage = Operation(req.organisation, self.count_usage)
                 return OpenTransaction(conn, granted, on_primary, epoch, usage)
             self._release(granted, conn)
--- a/godwitthread/platform/gateway_process.py
+++ b/godwitthread/platform/gateway_process.py
@@ -17,7 +17,7 @@
 from godwitthread import loop
 from godwitthread.clock import Clock
 from godwitthread.core import ownership
-from godwitthread.core.answer_audit import Irregularity
+from godwitthread.core.answer_alignment import Irregularity
 from godwitthread.core.catalog import Peer
 from godwitthread.errors import ProxyError
 from godwitthread.events import EventLog, HybridLogicalClock
@@ -259,6 +259,9 @@
 
     def _report_answer(self, member: str, statement_id: str, irregularity: Irregularity) -> None:
         self._irregular_answers[irregularity] += 1
+        if irregularity is Irregularity.CONFIRMED_REFUSAL:
+            # Not irregular, but its share shows the cost of confirmations.
+            return
         request = statement_id[:MAX_LOGGED]
         self._log.failure(
             'answer_irregular', member=member, request=request, reason=irregularity.value
