Give the line protocol of the stand-in member a codec of its own

The stand-in member, the callers of the soak and those of planned work read and wrote lines with the product's LineReader, encode and parse_query.

The stand-in's codec ends a line at CR LF only, leaves all other bytes of the last field as they are and parses statements strictly. The connection of the member moves to a module of its own.

--- a/godwitthread/standin/line_member.py
+++ b/godwitthread/standin/line_member.py
@@ -6,26 +6,17 @@
 import random
 from typing import TYPE_CHECKING, Any, NamedTuple
 
-from godwitthread.core.statements import TxState, Verb
 from godwitthread.loop import eventlet
-from godwitthread.platform.line_protocol import (
-    LineReader,
-    encode,
-    format_position,
-    parse_position,
-    parse_query,
-    ready,
-)
 from godwitthread.sockets import configure, listen, shutdown_socket
+from godwitthread.standin.line_connection import Connection
 from godwitthread.types import Position
 
 if TYPE_CHECKING:
     import socket
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from godwitthread.address import Address
-    from godwitthread.core.statements import Statement
-
+    from godwitthread.standin.line_connection import Execution
 
 #: Interval for resending a commit that no replica has received, in s.
 COMMIT_RETRY_S = 0.02
@@ -56,6 +47,8 @@
         self.condition = 'up'
         #: Probability that a statement is executed without an answer.
         self.lost_answer_share = 0.0
+        #: Probability that an answer is sent a second time.
+        self.repeated_answer_share = 0.0
         self.lag_s = 0.02
         self.connections = 0
         #: Term for which replication is paused; commits are received only while it does not
@@ -115,17 +108,20 @@
 
     def value(self, item: str) -> str:
         """Return the data of an item according to the applied commits, or ''."""
+        return next(self.values(item), '')
+
+    def values(self, item: str) -> Iterator[str]:
+        """Yield the data of an item in the applied commits, the newest first."""
         for commit in reversed(self.log[: self.applied]):
-            for name, data, _ in commit.writes:
+            for name, data, _ in reversed(commit.writes):
                 if name == item:
-                    return data
-        return ''
+                    yield data
 
     def _serve(self, sock: Any) -> None:
         self._sockets.add(sock)
         self.connections += 1
         try:
-            _Connection(self, sock).run()
+            Connection(self, sock).run()
         except (OSError, EOFError):
             return
         finally:
@@ -161,13 +157,18 @@
         self.partitioned: LineMember | None = None
         #: Commits of former primaries that a promotion discarded.
         self.rolled_back: list[Commit] = []
-        #: Executed statements: member, organisation, statement id, text.
-        self.executed: list[tuple[str, str, str, str]] = []
+        self.executed: list[Execution] = []
+        #: Maximum number of rows of a read, which are the last values of an item.
+        self.rows_per_read = 1
+        #: Number of answers that were sent a second time.
+        self.repeated = 0
         #: Callback for members whose entry in the store must be updated.
         self.on_change: Callable[[LineMember], None] = lambda _: None
         self.now_ms = now_ms
         self.random = random.Random(seed)
         self.receipts = itertools.count(1)
+        self.connection_numbers = itertools.count(1)
+        self.transactions = itertools.count(1)
 
     def add(self, name: str, address: Address, domain: str) -> LineMember:
         """Add a member; the first one becomes the primary."""
@@ -255,143 +256,3 @@
             if member.log[member.applied].position > position:
                 return
             member.applied += 1
-
-
-class _Connection:
-    """Client connection to a member."""
-
-    def __init__(self, member: LineMember, sock: Any) -> None:
-        self._member = member
-        self._group = member.group
-        self._sock = sock
-        self._reader = LineReader(sock)
-        self._state = TxState.IDLE
-        self._read_write = False
-        self._writes: list[tuple[str, str, str]] = []
-        self._prepared: dict[str, Statement] = {}
-        self._organisation = ''
-
-    def run(self) -> None:
-        word, _, rest = (self._reader.read() or '').partition(' ')
-        service, organisation, expected = [*rest.split(' '), '', ''][:3]
-        self._wait_while_unresponsive()
-        member = self._member
-        if word != 'START' or service != self._group.name or expected not in ('', member.name):
-            self._sock.sendall(encode(f'ERR WRONGNODE {member.name}'))
-            return
-        if member.connections > self._group.connection_limit:
-            self._sock.sendall(encode(f'ERR TOOMANY {member.name}'))
-            return
-        member.hold_slot(self._group.connect_s)
-        self._organisation = organisation
-        self._sock.sendall(encode(ready(TxState.IDLE, member.position())))
-        while (line := self._reader.read()) is not None:
-            word, _, rest = line.partition(' ')
-            if word != 'QUERY':
-                return
-            statement_id, _, text = rest.partition(' ')
-            answer = self._answer(statement_id, text)
-            self._wait_while_unresponsive()
-            if self._group.random.random() < member.lost_answer_share:
-                eventlet.sleep(30)
-                return
-            self._sock.sendall(encode(*answer, ready(self._state, member.position())))
-
-    def _wait_while_unresponsive(self) -> None:
-        while self._member.condition == 'dark':
-            eventlet.sleep(0.05)
-
-    def _answer(self, statement_id: str, text: str) -> list[str]:
-        member, group = self._member, self._group
-        if text.startswith('AFTER '):
-            _, wanted, text = text.split(' ', 2)
-            position = parse_position(wanted)
-            applied_positions = [entry.position for entry in member.log[: member.applied]]
-            if position is None or (position not in applied_positions and position.offset):
-                return [f'ERR LAGGING {member.name}']
-        if text.startswith('PAUSE '):
-            term = int(text.partition(' ')[2])
-            if member.primary or term <= max(group.term, member.paused_term):
-                return ['ERR MALFORMED not a term to pause for']
-            member.paused_term = term
-        if text == 'RESUME':
-            member.paused_term = 0
-            if not member.primary:
-                group.follow(member)
-        if text == 'STATUS' or text == 'RESUME' or text.startswith('PAUSE '):
-            return [self._status(), 'DONE -']
-        if text == 'RESET':
-            self._prepared.clear()
-            return ['DONE -']
-        statement = parse_query(f'{statement_id} {text}')
-        if statement is None:
-            return ['ERR MALFORMED not understood']
-        return self._run(statement)
-
-    def _status(self) -> str:
-        member = self._member
-        role = 'primary' if member.primary else 'replica'
-        received = format_position(member.received())
-        term = member.term if member.unaware else self._group.term
-        return f'ROW {role} {term} {received} {member.paused_term} 0 0 1'
-
-    def _run(self, statement: Statement) -> list[str]:
-        member = self._member
-        verb = statement.verb
-        if verb is Verb.EXECUTE:
-            prepared = self._prepared.get(statement.name)
-            if prepared is None:
-                return ['ERR NOSTMT no such name']
-            item, _, data = statement.argument.partition(' ')
-            verb = Verb.READ if prepared.read_only else Verb.WRITE
-            statement = statement._replace(name=item, argument=data)
-        if verb is Verb.ROLLBACK:
-            self._end_transaction()
-            return ['DONE -']
-        if (
-            self._read_write
-            and not member.primary
-            and not (verb is Verb.COMMIT and not self._writes)
-        ):
-            self._state = TxState.FAILED
-            return [f'ERR READONLY {member.name}']
-        if verb in (Verb.SET, Verb.DEALLOCATE):
-            return ['DONE -']
-        if verb is Verb.PREPARE:
-            self._prepared[statement.name] = statement
-            return ['DONE -']
-        if verb is Verb.BEGIN:
-            if not statement.read_only and not member.primary:
-                return [f'ERR READONLY {member.name}']
-            self._state, self._read_write = TxState.OPEN, not statement.read_only
-            return ['DONE -']
-        if verb is Verb.WRITE and not member.primary:
-            return [f'ERR READONLY {member.name}']
-        group = self._group
-        member.hold_slot(group.execution_s.get(statement.name, group.statement_s))
-        return self._execute(statement, verb)
-
-    def _execute(self, statement: Statement, verb: Verb) -> list[str]:
-        member, group = self._member, self._group
-        if member.condition == 'down':
-            raise ConnectionResetError
-        if (verb is Verb.WRITE or self._read_write) and not member.primary:
-            return [f'ERR READONLY {member.name}']
-        group.executed.append((member.name, self._organisation, statement.id, statement.text))
-        rows = []
-        if verb is Verb.READ:
-            rows = [f'ROW {member.value(statement.name)}']
-        elif verb is Verb.WRITE:
-            self._writes.append((statement.name, statement.argument, statement.id))
-            if self._state is TxState.IDLE:
-                group.commit(member, tuple(self._writes))
-                self._writes.clear()
-        elif verb is Verb.COMMIT:
-            if self._writes:
-                group.commit(member, tuple(self._writes))
-            self._end_transaction()
-        return [*rows, f'DONE {member.name}.{next(group.receipts)}']
-
-    def _end_transaction(self) -> None:
-        self._state, self._read_write = TxState.IDLE, False
-        self._writes.clear()
--- a/tests/test_platform/planned_callers.py
+++ b/tests/test_platform/planned_callers.py
@@ -9,8 +9,8 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from godwitthread.loop import eventlet
-from godwitthread.platform.line_protocol import LineReader, encode
 from godwitthread.sockets import connect, has_no_input
+from godwitthread.standin.line_codec import LineStream, text_lines
 from tests.test_platform.world import NOT_RUN_CODES, now_ms
 
 if TYPE_CHECKING:
@@ -109,10 +109,10 @@
         self._new = True
         self._sock = connect(deployment.caller_address(instance), 1_000)
         self._sock.settimeout(5)
-        self._reader = LineReader(self._sock)
+        self._stream = LineStream(self._sock)
         try:
-            self._sock.sendall(encode(f'START {database} {key}'))
-            if not (self._reader.read() or '').startswith('READY'):
+            self._sock.sendall(text_lines(f'START {database} {key}'))
+            if not (self._stream.read() or b'').startswith(b'READY'):
                 raise ConnectionResetError
         except OSError:
             self.close()
@@ -126,7 +126,7 @@
         """
         if not has_no_input(self._sock):
             raise ConnectionResetError
-        self._sock.sendall(encode(*(f'QUERY {each} {text}' for each, text in statements)))
+        self._sock.sendall(text_lines(*(f'QUERY {each} {text}' for each, text in statements)))
         sent_ms = now_ms()
         for index, (each, text) in enumerate(statements):
             self._ledger.requests[each] = Request(
@@ -148,8 +148,8 @@
 
     def _read_answer(self) -> str:
         code = ''
-        while (line := self._reader.read()) is not None:
-            message_type, _, rest = line.partition(' ')
+        while (line := self._stream.read()) is not None:
+            message_type, _, rest = line.decode('latin-1').partition(' ')
             if message_type == 'ERR':
                 code = rest.partition(' ')[0]
             elif message_type == 'READY':
--- a/tests/test_platform/world.py
+++ b/tests/test_platform/world.py
@@ -23,8 +23,8 @@
 
 from godwitthread.address import Address  # noqa: E402
 from godwitthread.loop import eventlet  # noqa: E402
-from godwitthread.platform.line_protocol import LineReader, encode  # noqa: E402
 from godwitthread.sockets import connect, listen  # noqa: E402
+from godwitthread.standin.line_codec import LineStream, text_lines  # noqa: E402
 from godwitthread.standin.line_member import LineGroup, LineMember  # noqa: E402
 from godwitthread.standin.rows import PromotionEndpoint, RowStore, serve  # noqa: E402
 from godwitthread.standin.usage import UsageEndpoint, UsageLedger  # noqa: E402
@@ -417,22 +417,22 @@
         self._small = key.startswith('ks')
         self._sock = connect(address, 1_000)
         self._sock.settimeout(ANSWER_TIMEOUT_S)
-        self._reader = LineReader(self._sock)
-        self._sock.sendall(encode(f'START {database} {key}'))
-        if not (self._reader.read() or '').startswith('READY'):
+        self._stream = LineStream(self._sock)
+        self._sock.sendall(text_lines(f'START {database} {key}'))
+        if not (self._stream.read() or b'').startswith(b'READY'):
             self.close()
             raise ValueError('session refused')
 
     def execute(self, statement_id: str, text: str) -> tuple[list[str], str]:
         """Execute a statement; return its rows and the error code, empty on success."""
         sent_ms = now_ms()
-        self._sock.sendall(encode(f'QUERY {statement_id} {text}'))
+        self._sock.sendall(text_lines(f'QUERY {statement_id} {text}'))
         rows, code = [], ''
         while True:
-            line = self._reader.read()
+            line = self._stream.read()
             if line is None:
                 raise ConnectionResetError
-            message_type, _, rest = line.partition(' ')
+            message_type, _, rest = line.decode('latin-1').partition(' ')
             if message_type == 'ROW':
                 rows.append(rest)
             elif message_type == 'ERR':
--- a/tests/test_wire/codec.py
+++ b/tests/test_wire/codec.py
@@ -1,17 +1,8 @@
-"""Line protocol as its published page states it, without the code under test.
-
-A line ends with CR LF; its last field extends to the end of the line, so that every other byte
-is data. The product's codec on both sides of a check would hide its own faults.
-"""
+"""Answers of members in the line protocol, built without the code under test."""
 
 from __future__ import annotations
 
-END = b'\r\n'
-
-
-def lines(*parts: bytes) -> bytes:
-    """Return the wire form of lines."""
-    return b''.join(part + END for part in parts)
+from godwitthread.standin.line_codec import END, lines
 
 
 def answer(receipt: bytes, *rows: bytes, state: bytes = b'I', position: bytes = b'3.9') -> bytes:
