Trace statements and answers through the soak, with odd bytes and repeated answers

The soak checked outcomes of plain writes and reads, so that a changed byte, an answer of another statement or another session's values showed in no run. With `--foreign-answers KIND` callers set values, prepare, execute, read, write and run transactions, under names that collide, in sessions that last, while instances and members fail. A ledger compares what they sent and received with what the members recorded, and names MIXED, PINNED, UNASKED, TWICE and REFUSED. KIND chooses texts with bytes that are easily mistaken, members that answer twice, both or neither. All violations of a failed run are kept beside the logs.

--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,8 @@
 soak: setup
 	$(BIN)/python -m tests.soak --seconds $(SECONDS) --seed $(SEED)
 
-# MODE=--planned, --splits, --silent-store or --malformed-rows plays only work or faults of that kind.
+# MODE=--planned, --splits, --silent-store, --malformed-rows or --foreign-answers=KIND plays only
+# work or faults of that kind.
 soak-processes: setup
 	$(BIN)/python -m tests.test_platform.world --seconds $(SECONDS) --seed $(SEED) --seeds $(SEEDS) $(MODE)
 
--- a/tests/test_platform/faults.py
+++ b/tests/test_platform/faults.py
@@ -4,25 +4,28 @@
 
 import signal
 import time
+from random import Random
 from typing import TYPE_CHECKING
 
 from godwitthread.loop import eventlet
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from tests.test_platform.world import Deployment
 
 
-def inject_faults(deployment: Deployment, seconds: int) -> str:
+def inject_faults(
+    deployment: Deployment, seconds: int, faults: Mapping[str, Callable[[Deployment], None]]
+) -> str:
     """Start random faults, which may overlap; wait until all have ended and return their names."""
     names: list[str] = []
     elapsed_s = 0.0
     pool = eventlet.GreenPool()
     while elapsed_s < seconds:
-        name = deployment.random.choice(sorted(FAULTS))
+        name = deployment.random.choice(sorted(faults))
         names.append(name)
-        pool.spawn_n(FAULTS[name], deployment)
+        pool.spawn_n(faults[name], deployment)
         delay_s = deployment.random.uniform(0.3, 2.5)
         eventlet.sleep(delay_s)
         elapsed_s += delay_s
@@ -122,6 +125,29 @@
     member.lost_answer_share = 0.0
 
 
+def repeat_answers(deployment: Deployment, seed: int) -> None:
+    """Let the members of one group after the other send some answers twice, until the end."""
+    rnd = Random(f'{seed} repeated answers')
+    while not deployment.stopping:
+        members = rnd.choice(deployment.groups).members.values()
+        share = rnd.choice([0.02, 0.2])
+        for member in members:
+            member.repeated_answer_share = share
+        eventlet.sleep(rnd.uniform(0.5, 3))
+        for member in members:
+            member.repeated_answer_share = 0.0
+
+
+def change_configuration(deployment: Deployment) -> None:
+    """Write some configurations that differ in routes and limits, at once or with pauses."""
+    for _ in range(deployment.random.randint(1, 4)):
+        deployment.extra_routes = deployment.random.randint(0, 20)
+        deployment.tx_idle_ms = deployment.random.choice([1_000, 3_000])
+        deployment.connection_limit = deployment.random.choice([10, 16])
+        deployment.configure()
+        eventlet.sleep(deployment.random.choice([0, 0.3]))
+
+
 def stop_store(deployment: Deployment) -> None:
     """Let the store refuse all calls, or not respond to them."""
     deployment.store.outage = deployment.random.choice(['busy', 'silent'])
@@ -197,6 +223,16 @@
     'withdraw_key': withdraw_key,
 }
 
+#: Faults beside which statements and answers are traced.
+TRACED_FAULTS: dict[str, Callable[[Deployment], None]] = {
+    'kill_instance': kill_instance,
+    'stop_instance': stop_instance,
+    'pause_instance': pause_instance,
+    'crash_primary': crash_primary,
+    'lose_answers': lose_answers,
+    'change_configuration': change_configuration,
+}
+
 
 def _random_instance(deployment: Deployment) -> int:
     running = [number for number, each in deployment.processes.items() if each.poll() is None]
--- a/tests/test_platform/runs.py
+++ b/tests/test_platform/runs.py
@@ -6,15 +6,25 @@
 import signal
 import sys
 import tempfile
+from collections import Counter
+from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING, NamedTuple
 
 from godwitthread.loop import eventlet
-from tests.test_platform.faults import inject_faults, inject_splits
+from tests.test_platform.faults import (
+    FAULTS,
+    TRACED_FAULTS,
+    inject_faults,
+    inject_splits,
+    repeat_answers,
+)
 from tests.test_platform.malformed_rows import MalformedRows
 from tests.test_platform.planned_callers import Caller, Ledger, check_answers
 from tests.test_platform.planned_work import PlannedWork
 from tests.test_platform.silent_store import SilentStore
+from tests.test_platform.statement_ledger import StatementLedger
+from tests.test_platform.tracing_callers import TracingCaller
 from tests.test_platform.world import Deployment
 
 if TYPE_CHECKING:
@@ -25,6 +35,8 @@
 PLANNED_SLOTS = 20
 #: Time limit for the answers that are missing at the end of a run, in s.
 FINISH_TIMEOUT_S = 20
+#: Maximum number of rows of a read whose answer is traced.
+TRACED_ROWS = 3
 #: Maximum number of violations that are printed.
 MAX_PRINTED = 20
 
@@ -60,6 +72,13 @@
         help='malformed rows in the store, members that drain, and changes of the configuration',
     )
     modes.add_argument('--planned', action='store_true', help='planned work only, no faults')
+    modes.add_argument(
+        '--foreign-answers',
+        nargs='?',
+        const='both',
+        choices=['plain', 'bytes', 'repeats', 'both'],
+        help='trace statements and answers, with odd bytes, repeated answers of members or both',
+    )
     args = parser.parse_args()
     # Exit through `finally`, so that the started processes are killed as well.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
@@ -71,6 +90,8 @@
         play_silent_store: args.silent_store,
         play_malformed_rows: args.malformed_rows,
     }
+    if args.foreign_answers:
+        plays[partial(play_foreign_answers, kind=args.foreign_answers)] = True
     play = next((each for each, chosen in plays.items() if chosen), play_faults)
     slots = PLANNED_SLOTS if args.planned else 2
     seeds = range(args.seed, args.seed + args.seeds)
@@ -91,6 +112,7 @@
             log_folder.mkdir(exist_ok=True)
             for log in Path(folder).glob('*.log'):
                 (log_folder / log.name).write_bytes(log.read_bytes())
+            (log_folder / 'violations.txt').write_text('\n'.join(deployment.violations))
     result = 'FAILED' if deployment.violations else 'ok'
     print(  # noqa: T201
         f'seed {seed}: {result}, {deployment.served} of {deployment.requested} served; {summary}',
@@ -106,7 +128,7 @@
 def play_faults(deployment: Deployment, _: int, sizes: Sizes) -> str:
     """Inject faults while callers check the guarantees."""
     _start_callers(deployment, sizes)
-    names = inject_faults(deployment, sizes.seconds)
+    names = inject_faults(deployment, sizes.seconds, FAULTS)
     _check_recovery(deployment)
     _stop_callers(deployment)
     return f'faults: {names}'
@@ -176,6 +198,26 @@
     )
 
 
+def play_foreign_answers(deployment: Deployment, seed: int, sizes: Sizes, kind: str) -> str:
+    """Inject faults while callers trace their statements and answers."""
+    ledger, odd = StatementLedger(), kind in ('bytes', 'both')
+    for group in deployment.groups:
+        group.rows_per_read = TRACED_ROWS
+    eventlet.sleep(2)
+    for number in range(sizes.callers):
+        eventlet.spawn(TracingCaller(number, seed, ledger, deployment, odd).run)
+    if kind in ('repeats', 'both'):
+        eventlet.spawn(repeat_answers, deployment, seed)
+    names = inject_faults(deployment, sizes.seconds, TRACED_FAULTS)
+    _check_recovery(deployment)
+    _stop_callers(deployment)
+    found = ledger.violations(deployment.groups)
+    deployment.violations += [f'{each.rule}: {each.details}' for each in found]
+    counts = ', '.join(f'{rule} {n}' for rule, n in Counter(each.rule for each in found).items())
+    repeated = sum(group.repeated for group in deployment.groups)
+    return f'{counts or "no rule broken"}; {repeated} answers repeated; faults: {names}'
+
+
 def _start_callers(deployment: Deployment, sizes: Sizes) -> None:
     eventlet.sleep(2)
     for caller in range(sizes.callers):
