Let members refuse statements and cut answers off in the traced soak

Repeated answers were successes almost always, since the members of the soak refused little, and a lost answer was lost as a whole. A repeated refusal, after which an instance may send a write again, was played in few runs.

Members now refuse a share of BEGIN, READ, WRITE and COMMIT as BUSY for some seconds, an answer may be cut off at any byte, and one odd text in fifty takes many reads of a socket.

--- a/godwitthread/standin/line_connection.py
+++ b/godwitthread/standin/line_connection.py
@@ -15,6 +15,8 @@
 
 #: Maximum delay of a repeated answer, in s.
 REPEAT_DELAY_S = 3
+#: Statements that a member may refuse as too many.
+SLOT_VERBS = ('BEGIN', 'READ', 'WRITE', 'COMMIT')
 
 
 class Execution(NamedTuple):
@@ -80,10 +82,13 @@
             statement_id, _, text = rest.partition(' ')
             answer = self._answer(statement_id, text)
             self._wait_while_unresponsive()
-            if self._group.random.random() < member.lost_answer_share:
+            data, rnd = text_lines(*answer, self._ready()), self._group.random
+            if rnd.random() < member.lost_answer_share:
+                # An answer may also be cut off before it ends.
+                self._sock.sendall(data[: rnd.choice([0, rnd.randrange(len(data))])])
                 eventlet.sleep(30)
                 return
-            self._send(text_lines(*answer, self._ready()))
+            self._send(data)
 
     def _read(self) -> str | None:
         line = self._stream.read()
@@ -192,6 +197,9 @@
             return [f'ERR READONLY {member.name}']
         if self._state == 'E' and verb != 'ROLLBACK':
             return ['ERR MALFORMED the transaction has failed']
+        share = member.busy_share
+        if share and verb in SLOT_VERBS and self._group.random.random() < share:
+            return [f'ERR BUSY {member.name}']
         return []
 
     def _control(self, verb: str, name: str, argument: str) -> list[str]:
--- a/godwitthread/standin/line_member.py
+++ b/godwitthread/standin/line_member.py
@@ -45,7 +45,9 @@
         self.born = 1
         #: 'up', 'dark' (accepts connections without answering) or 'down' (refuses them).
         self.condition = 'up'
-        #: Probability that a statement is executed without an answer.
+        #: Probability that a statement is refused as BUSY.
+        self.busy_share = 0.0
+        #: Probability that a statement is executed without an answer, or with a part of it.
         self.lost_answer_share = 0.0
         #: Probability that an answer is sent a second time.
         self.repeated_answer_share = 0.0
--- a/tests/test_platform/faults.py
+++ b/tests/test_platform/faults.py
@@ -125,6 +125,16 @@
     member.lost_answer_share = 0.0
 
 
+def refuse_statements(deployment: Deployment) -> None:
+    """Let the members of a group refuse some statements as BUSY."""
+    members = deployment.random.choice(deployment.groups).members.values()
+    for member in members:
+        member.busy_share = 0.2
+    eventlet.sleep(deployment.random.uniform(1, 3))
+    for member in members:
+        member.busy_share = 0.0
+
+
 def repeat_answers(deployment: Deployment, seed: int) -> None:
     """Let the members of one group after the other send some answers twice, until the end."""
     rnd = Random(f'{seed} repeated answers')
@@ -230,6 +240,7 @@
     'pause_instance': pause_instance,
     'crash_primary': crash_primary,
     'lose_answers': lose_answers,
+    'refuse_statements': refuse_statements,
     'change_configuration': change_configuration,
 }
 
--- a/tests/test_platform/odd_texts.py
+++ b/tests/test_platform/odd_texts.py
@@ -13,6 +13,8 @@
 BLANKS = [' ', '  ']
 #: Texts that contain what looks like a message.
 FORGERIES = ['x\nQUERY 9 WRITE i0 y', 'x\nROLLBACK', 'x\nDONE f.1\nREADY I 9.9', '\nREADY I -']
+#: Share of odd texts that take many reads of a socket.
+LONG_SHARE = 0.02
 
 
 def text(random: Random, odd: bool, blanks: bool = True) -> str:
@@ -24,5 +26,7 @@
         return random.choice([*FORGERIES, *BLANKS])
     pieces = [word, *random.choices([*PIECES, *(BLANKS if blanks else [])], k=random.randint(1, 3))]
     random.shuffle(pieces)
+    if random.random() < LONG_SHARE:
+        pieces *= 4_000
     # The end of a line is the only sequence that a text cannot contain.
     return re.sub('\r+\n', '\n', ''.join(pieces))
--- a/tests/test_platform/runs.py
+++ b/tests/test_platform/runs.py
@@ -37,8 +37,9 @@
 FINISH_TIMEOUT_S = 20
 #: Maximum number of rows of a read whose answer is traced.
 TRACED_ROWS = 3
-#: Maximum number of violations that are printed.
+#: Maximum number of violations that are printed, and of characters of each.
 MAX_PRINTED = 20
+MAX_PRINTED_LENGTH = 2_000
 
 
 class Sizes(NamedTuple):
@@ -119,7 +120,7 @@
         flush=True,
     )
     for violation in deployment.violations[:MAX_PRINTED]:
-        print(f'  {violation}', flush=True)  # noqa: T201
+        print(f'  {violation[:MAX_PRINTED_LENGTH]}', flush=True)  # noqa: T201
     if len(deployment.violations) > MAX_PRINTED:
         print(f'  and {len(deployment.violations) - MAX_PRINTED} more')  # noqa: T201
     return 1 if deployment.violations else 0
