--- a/tests/test_wire/members.py
+++ b/tests/test_wire/members.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import msgspec
 from eventlet.green import socket
 
@@ -12,13 +14,16 @@
 from godwitthread.platform.member_connection import MemberConnection
 from tests.test_wire import codec
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 _TIMEOUT_MS = 500
 
 
 class AnsweringMember:
-    """Member that sends the given chunks for each statement of a caller."""
+    """Member that sends the chunks of a function for each statement id of a caller."""
 
-    def __init__(self, chunks: list[bytes]) -> None:
+    def __init__(self, chunks: Callable[[bytes], list[bytes]]) -> None:
         #: Lines that the member received.
         self.received: list[bytes] = []
         near, self._sock = socket.socketpair()
@@ -51,8 +56,9 @@
             lines, rest = codec.split_lines(rest + data)
             self.received += lines
             for line in lines:
-                internal = line.startswith(b'QUERY - ')
-                for chunk in [codec.answer(b'-')] if internal else self._chunks:
+                statement_id = line.split(b' ')[1]
+                internal = statement_id == b'-'
+                for chunk in [codec.answer(b'-')] if internal else self._chunks(statement_id):
                     self._sock.sendall(chunk)
                     eventlet.sleep(0)
 
--- a/tests/test_wire/test_unchanged.py
+++ b/tests/test_wire/test_unchanged.py
@@ -32,10 +32,11 @@
         b'5 EXEC s ' + arguments,
     ]
     stream = codec.lines(*(b'QUERY ' + query for query in queries))
-    member = AnsweringMember([codec.answer(b'r')])
+    member = AnsweringMember(lambda statement_id: [codec.answer(b'r' + statement_id)])
     lines = converse(member.run, *pieces(data, stream))
     member.close()
-    assert lines.count(b'DONE -') == 2 and lines.count(b'DONE r') == 3
+    done = [line for line in lines if line.startswith(b'DONE')]
+    assert done == [b'DONE -', b'DONE r2', b'DONE r3', b'DONE -', b'DONE r5']
     name = member.received[3].split(b' ')[3]
     assert member.received == [
         b'QUERY - SET v ' + value,
@@ -51,7 +52,8 @@
 def test_what_a_member_sends_reaches_the_caller_unchanged(rows, text, failed, data):
     """Guard against rows, receipts and messages that are changed or forged (MIXED)."""
     answer = codec.refusal(b'FAILED', text) if failed else codec.answer(b'r' + text, *rows)
-    member = AnsweringMember(pieces(data, answer))
+    chunks = pieces(data, answer)
+    member = AnsweringMember(lambda _: chunks)
     lines = converse(member.run, codec.lines(b'QUERY 1 READ a'))
     member.close()
     if failed:
