Close a connection whose member does not know a prepared statement

A member that answers NOSTMT lacks a statement that the connection records as prepared, as after a restart behind the same connection or a lost PREPARE. The statement went back to the queue and was sent on the same connection until its time limit, and its caller was told that the deployment is overloaded.

The connection is closed after such an answer, so that the next attempt prepares the statement on another one. Nothing ran, so that the attempt is safe.

--- a/godwitthread/gateway/groups/statement_runner.py
+++ b/godwitthread/gateway/groups/statement_runner.py
@@ -260,7 +260,11 @@
         if req.prepared is None:
             return conn.run(req.statement_id, req.text, left_ms, after)
         name = prepared_name(req.prepared)
-        return conn.execute(req.statement_id, name, req.arguments, left_ms, after)
+        reply = conn.execute(req.statement_id, name, req.arguments, left_ms, after)
+        if reply.refusal is Refusal.UNPREPARED:
+            # The session state at the member is not the one that the connection records.
+            conn.close()
+        return reply
 
     def _count_traffic(self, member_id: str, req: RunRequest, reply: Reply) -> None:
         member = self.members.get(member_id)
