Accept a refusal that leaves a single statement in a failed state

A statement outside a transaction that a member refuses with READY E was reported as an unknown outcome, although the refusal says that it did not run. The protocol's page shows this answer to an EXEC. Only the state I counted as possible there.

E is possible after the refusal of a single statement as well; the connection is then closed in place of pooled, as any connection inside a transaction, and a refusal that may be a repeat is confirmed by a ROLLBACK.

--- a/godwitthread/core/answer_alignment.py
+++ b/godwitthread/core/answer_alignment.py
@@ -203,9 +203,10 @@
         """Return whether the state after a refusal is possible."""
         if request in _ENDS:
             return True
-        if self.state is TxState.OPEN:
-            return reply.state is not TxState.IDLE
-        return reply.state is self.state
+        if self.state is TxState.IDLE:
+            # A statement outside a transaction may leave a failed one when it is refused.
+            return reply.state is not TxState.OPEN
+        return reply.state in (self.state, TxState.FAILED)
 
     def _judge(self, now_ms: int, request: Request, reply: Reply) -> Judgement:
         if reply.refusal is None:
