Tell what a request takes from its verb instead of its id

A caller that gives its statement the id of the gateway's own statements got INDOUBT for a read or write that ran: the connection took it for a session command, whose success has no receipt, and closed.

The verb of the text now decides. The new test failed before with "assert () == ('x',)" and passes now; tests/test_wire passes.

--- a/godwitthread/platform/member_connection.py
+++ b/godwitthread/platform/member_connection.py
@@ -36,8 +36,12 @@
 #: Time-out for the confirmation of a refusal, in ms; its requests take no slot of the member.
 CONFIRM_TIMEOUT_MS = 400
 
-#: Requests of the gateway itself that are no session commands.
+#: Requests that are no session commands. A caller may choose any id, also that of the gateway.
 _REQUESTS = {
+    'READ': Request.STATEMENT,
+    'WRITE': Request.STATEMENT,
+    'EXEC': Request.STATEMENT,
+    'COMMIT': Request.COMMIT,
     'BEGIN': Request.BEGIN,
     'ROLLBACK': Request.ROLLBACK,
     'STATUS': Request.STATUS,
@@ -140,7 +144,7 @@
             self._drop_repeated()
         if self.closed:
             return Reply(refusal=Refusal.UNREACHABLE, message='connection is closed')
-        request = _request_of(statement_id, text)
+        request = _request_of(text)
         self._waiting, answered = True, False
         try:
             line = f'QUERY {statement_id} {_add_position(text, after)}'
@@ -342,9 +346,7 @@
     return error
 
 
-def _request_of(statement_id: str, text: str) -> Request:
-    if statement_id != GATEWAY_STATEMENT_ID:
-        return Request.COMMIT if text == 'COMMIT' else Request.STATEMENT
+def _request_of(text: str) -> Request:
     return _REQUESTS.get(text.partition(' ')[0], Request.SESSION)
 
 
--- a/tests/test_wire/test_member_answers.py
+++ b/tests/test_wire/test_member_answers.py
@@ -126,3 +126,8 @@
         end.answer(codec.refusal(b'BUSY'))
         call(end.conn)
         assert end.conn.closed
+
+
+def test_a_statement_of_a_caller_may_have_the_id_of_the_gateway():
+    """Guard against a success that is reported as an unknown outcome because of the id."""
+    assert FarEnd().run('-', 'READ a', READ_1).rows == ('x',)
