Don't trust session values after two refusals

A statement could run under values of another session: if a repeated answer passes for that to a SET which the member refused, that refusal arrives while a statement is in flight. If the statement is refused too, the connection was kept, with values that the member does not have.

A confirmation that finds two answers now ends the connection if a session command before it was answered by a possible repeat, whether the second answer is a success or a refusal. The test failed before with the refusal: "assert not True"; it passes now.

--- a/godwitthread/core/answer_alignment.py
+++ b/godwitthread/core/answer_alignment.py
@@ -143,10 +143,9 @@
 
     def resolve(self, confirmation: Confirmation) -> bool:
         """Accept the outcome of a confirmation; return False if the connection is to be closed."""
-        # The refusal that was not the statement's own may be that of a request of the gateway
-        # itself, which seemed to succeed because of a repeated answer.
-        succeeded = confirmation.answer.refusal is None
-        if confirmation.failed or (succeeded and self._doubtful is not None):
+        # One of two answers may be the refusal of a request of the gateway itself, which seemed to
+        # succeed because of a repeated answer.
+        if confirmation.failed or (confirmation.answers > 1 and self._doubtful is not None):
             return False
         self.state = confirmation.state
         return True
@@ -255,6 +254,8 @@
         self.probes: tuple[Request, ...] = (Request.SESSION, Request.SESSION)
         if refusal.state is TxState.FAILED:
             self.probes = (Request.ROLLBACK,)
+        #: Number of answers that may be that to the request.
+        self.answers = 1
         #: Number of probes that were answered.
         self.answered = 0
         #: Whether the answers can't be assigned to the requests.
@@ -288,6 +289,7 @@
             return False
         # Either of the two refusals may be the repeated one, so that both have to promise that the
         # request did not run.
+        self.answers += 1
         if self.answer.refusal in NOT_RUN:
             self.answer = reply
         return True
@@ -300,6 +302,7 @@
             return True
         begins = self._request is Request.BEGIN and self.answer.refusal is not None
         if begins and reply.state is TxState.OPEN:
+            self.answers += 1
             self.answer = reply
             return True
         return False
@@ -308,6 +311,7 @@
         judgement = self._alignment.judge_success(now_ms, self._request, reply)
         if judgement.verdict is not Verdict.ACCEPT or self.answer.refusal is None:
             return False
+        self.answers += 1
         self.answer = reply
         # The transaction of a statement is rolled back by the probe.
         self.failed = self.state is not reply.state
--- a/godwitthread/gateway/groups/member_group.py
+++ b/godwitthread/gateway/groups/member_group.py
@@ -227,10 +227,9 @@
             self.dispatch_waiting()
             return exc.refusal, exc.refusal
         with self._close_on_error(member_id, conn):
-            begun = ended = conn.begin(False, None, INTERNAL_TIMEOUT_MS)
-            if begun.refusal is None:
-                # An earlier answer in place of that to BEGIN is noticed by the next answer.
-                ended = conn.rollback(INTERNAL_TIMEOUT_MS)
+            begun = conn.begin(False, None, INTERNAL_TIMEOUT_MS)
+            # An earlier answer in place of that to BEGIN is noticed by the next answer.
+            ended = begun if begun.refusal else conn.rollback(INTERNAL_TIMEOUT_MS)
         self._release(member_id, conn)
         refusal = begun.refusal or ended.refusal
         if refusal not in (Refusal.LOST, Refusal.UNREACHABLE):
--- a/tests/test_wire/test_answer_alignment.py
+++ b/tests/test_wire/test_answer_alignment.py
@@ -158,13 +158,14 @@
         assert search.answer == expected
 
 
-def test_a_statement_is_not_trusted_after_a_session_command_that_may_have_been_refused():
-    """Guard against a statement under values of another session (PINNED)."""
+@pytest.mark.parametrize('own', [done('r1'), OTHER])
+def test_a_connection_ends_after_a_session_command_that_may_have_been_refused(own):
+    """Guard against statements under values of another session (PINNED)."""
     alignment = aligned(IDLE, (Request.SESSION, done()))
     # The first answer again, in place of the refusal that follows.
     assert alignment.judge(1, Request.SESSION, done()).verdict is Verdict.ACCEPT
     assert alignment.judge(2, Request.STATEMENT, BUSY).verdict is Verdict.CONFIRM
     search = Confirmation(alignment, Request.STATEMENT, BUSY)
-    for answer in (done('r1'), done(), done()):
+    for answer in (own, done(), done()):
         search.add(3, answer)
     assert not alignment.resolve(search)
