Close a connection after two refusals behind a session command that may have failed

A statement could run under session values that its member had refused. A repeated DONE - passes for the answer to a SET, whose own refusal then arrives behind the next statement. If that statement was refused as well, the confirmation returned a refusal and kept the connection, which went on to record the value as set.

The confirmation now counts refusals. One at most belongs to the statement, so that a second one may be that of the session command, and the connection is closed as after a success.

--- a/godwitthread/core/answer_alignment.py
+++ b/godwitthread/core/answer_alignment.py
@@ -145,8 +145,8 @@
         """Accept the outcome of a confirmation; return False if the connection is to be closed."""
         # The refusal that was not the statement's own may be that of a request of the gateway
         # itself, which seemed to succeed because of a repeated answer.
-        succeeded = confirmation.answer.refusal is None
-        if confirmation.failed or (succeeded and self._doubtful is not None):
+        answered = confirmation.answer.refusal is None or confirmation.refusals > 1
+        if confirmation.failed or (answered and self._doubtful is not None):
             return False
         self.state = confirmation.state
         return True
@@ -251,6 +251,8 @@
         self._request = request
         #: Answer to the request, as far as it is known.
         self.answer = refusal
+        #: Number of refusals, of which one at most is that of the request.
+        self.refusals = 1
         #: Requests to send, one after another: PREPARE and DEALLOC of a name that is not used
         #: otherwise. A failed transaction accepts nothing but its end.
         self.probes: tuple[Request, ...] = (Request.SESSION, Request.SESSION)
@@ -287,6 +289,7 @@
             return True
         if succeeded or not self._alignment.fits_refusal(self._request, reply):
             return False
+        self.refusals += 1
         # Either of the two refusals may be the repeated one, so that both have to promise that the
         # request did not run.
         if self.answer.refusal in NOT_RUN:
--- a/tests/test_wire/test_answer_alignment.py
+++ b/tests/test_wire/test_answer_alignment.py
@@ -170,6 +170,17 @@
     assert not alignment.resolve(search)
 
 
+def test_the_values_are_not_trusted_if_a_session_command_and_a_statement_were_refused():
+    """Guard against later statements under values that the member refused (PINNED)."""
+    alignment = aligned(IDLE, (Request.SESSION, done()))
+    assert alignment.judge(1, Request.SESSION, done()).verdict is Verdict.ACCEPT
+    assert alignment.judge(2, Request.STATEMENT, FAILURE).verdict is Verdict.CONFIRM
+    search = Confirmation(alignment, Request.STATEMENT, FAILURE)
+    for answer in (BUSY, done(), done()):
+        search.add(3, answer)
+    assert not search.failed and not alignment.resolve(search)
+
+
 def test_a_refused_statement_outside_a_transaction_may_leave_it_failed():
     """Guard against a refusal that is reported as an unknown outcome because of its state."""
     refusal = refused(state=FAILED)
