Read and write the lines of the review's cases with the stand-in's codec

The callers of the review's cases used the product's LineReader and encode, so that a fault of the codec stands on both sides of each of their checks.

--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -19,8 +19,8 @@
 
 from godwitthread.address import Address  # noqa: E402
 from godwitthread.loop import eventlet  # noqa: E402
-from godwitthread.platform.line_protocol import LineReader, encode  # noqa: E402
 from godwitthread.sockets import connect, listen  # noqa: E402
+from godwitthread.standin.line_codec import LineStream, text_lines  # noqa: E402
 from godwitthread.standin.line_member import LineGroup, LineMember  # noqa: E402
 from godwitthread.standin.rows import PromotionEndpoint, RowStore, serve  # noqa: E402
 
@@ -231,22 +231,23 @@
         self._record = deployment.record
         self._sock = connect(deployment.address(2, instance + 1, 8465), 1_000)
         self._sock.settimeout(10)
-        self._reader = LineReader(self._sock)
-        self._sock.sendall(encode(f'START {database} {key}'))
-        greeting = self._reader.read() or ''
+        self._stream = LineStream(self._sock)
+        self._sock.sendall(text_lines(f'START {database} {key}'))
+        greeting = (self._stream.read() or b'').decode('latin-1')
         if not greeting.startswith('READY'):
             self.refused = greeting
         self._record(f'{name}: START {database} {key} at front-{instance} -> {greeting}')
 
     def run(self, statement_id: str, text: str) -> tuple[list[str], str, str]:
         """Run a statement; return its rows, the error code ('' on success) and the state."""
-        self._sock.sendall(encode(f'QUERY {statement_id} {text}'))
+        self._sock.sendall(text_lines(f'QUERY {statement_id} {text}'))
         rows, code, result = [], '', ''
         while True:
-            line = self._reader.read()
-            if line is None:
+            received = self._stream.read()
+            if received is None:
                 self._record(f'{self.name}: {statement_id} {text} -> connection closed')
                 raise ConnectionResetError
+            line = received.decode('latin-1')
             word, _, rest = line.partition(' ')
             if word == 'ROW':
                 rows.append(rest)
@@ -274,7 +275,8 @@
             status = int(is_broken(deployment, record))
         for group in deployment.groups:
             for each in group.executed:
-                record(f'run by a member: {" ".join(each)}')
+                text = each.text.decode('latin-1')
+                record(f'run by a member: {each.member} {each.organisation} {each.id} {text}')
     except Exception:
         record(f'the case could not run: {traceback.format_exc()}')
         status = 2
