Confirm the refusal of a failed transaction by more than one request

A COMMIT that was kept could be reported as rolled back, and a write as not run, if its member repeated an earlier refusal with the state E and then an earlier DONE -. A refusal with the state E was confirmed by a ROLLBACK alone, so that one repeated answer stood for that to the only request, while the statement's own answer came behind both. The connection could even return to the pool with that answer outstanding, if the statement was a read or stood alone.

PREPARE and DEALLOC now follow the ROLLBACK, as they confirm other refusals, and the own answer comes before theirs. The rows of the test's table that expected one answer have three now.

--- a/godwitthread/core/answer_alignment.py
+++ b/godwitthread/core/answer_alignment.py
@@ -254,10 +254,10 @@
         #: Number of refusals, of which one at most is that of the request.
         self.refusals = 1
         #: Requests to send, one after another: PREPARE and DEALLOC of a name that is not used
-        #: otherwise. A failed transaction accepts nothing but its end.
+        #: otherwise. A failed transaction accepts nothing but its end before.
         self.probes: tuple[Request, ...] = (Request.SESSION, Request.SESSION)
         if refusal.state is TxState.FAILED:
-            self.probes = (Request.ROLLBACK,)
+            self.probes = (Request.ROLLBACK, *self.probes)
         #: Number of probes that were answered.
         self.answered = 0
         #: Whether the answers can't be assigned to the requests.
@@ -281,9 +281,9 @@
         self.failed = self.failed or not (known or seen)
 
     def _add_refusal(self, reply: Reply) -> bool:
-        deallocates = self.answered == 1
+        deallocates = self.answered == len(self.probes) - 1
         succeeded = self.answer.refusal is None
-        rolls_back = self.probes[0] is Request.ROLLBACK
+        rolls_back = self.probes[self.answered] is Request.ROLLBACK
         if (deallocates and reply.refusal is Refusal.UNPREPARED) or (rolls_back and succeeded):
             self.answered += 1
             return True
--- a/godwitthread/platform/member_connection.py
+++ b/godwitthread/platform/member_connection.py
@@ -49,10 +49,7 @@
     'RESUME': Request.STATUS,
 }
 #: Requests that confirm a refusal. No session prepares a statement of that name.
-_PROBES = {
-    (Request.ROLLBACK,): ('ROLLBACK',),
-    (Request.SESSION, Request.SESSION): ('PREPARE confirm READ q1', 'DEALLOC confirm'),
-}
+_PROBES = ('ROLLBACK', 'PREPARE confirm READ q1', 'DEALLOC confirm')
 
 
 class MisalignedError(Exception):
@@ -274,7 +271,7 @@
         end_ms = min(end_ms, self._clock.now_ms() + CONFIRM_TIMEOUT_MS)
         outcome = Irregularity.UNCONFIRMED_REFUSAL
         try:
-            for number, text in enumerate(_PROBES[search.probes]):
+            for number, text in enumerate(_PROBES[-len(search.probes) :]):
                 self._limit_wait(end_ms)
                 self._sock.sendall(encode(f'QUERY {GATEWAY_STATEMENT_ID} {text}'))
                 while search.answered <= number and not search.failed:
--- a/tests/test_wire/test_answer_alignment.py
+++ b/tests/test_wire/test_answer_alignment.py
@@ -110,6 +110,7 @@
 
 
 BUSY, OTHER, FAILURE = refused(), refused(Refusal.BEHIND), refused(Refusal.FAILED)
+ROLLED_BACK = refused(state=FAILED)
 
 
 @pytest.mark.parametrize(
@@ -122,7 +123,7 @@
         (IDLE, Request.STATEMENT, BUSY, [done('r0'), done(), done()], BUSY),
         (IDLE, Request.BEGIN, BUSY, [done(), done()], BUSY),
         (OPEN, Request.STATEMENT, refused(state=OPEN), [done(state=OPEN)] * 2, refused(state=OPEN)),
-        (OPEN, Request.COMMIT, refused(state=FAILED), [done()], refused(state=FAILED)),
+        (OPEN, Request.COMMIT, ROLLED_BACK, [done()] * 3, ROLLED_BACK),
         # It is that of an earlier one.
         (IDLE, Request.STATEMENT, BUSY, [done('r1'), done(), done()], done('r1')),
         (IDLE, Request.STATEMENT, BUSY, [done(), done('r1'), done()], done('r1')),
@@ -131,8 +132,9 @@
         (IDLE, Request.STATEMENT, FAILURE, [BUSY, done(), done()], FAILURE),
         (IDLE, Request.BEGIN, BUSY, [done(state=OPEN)] * 3, done(state=OPEN)),
         (OPEN, Request.COMMIT, refused(state=OPEN), [done('r1'), done(), done()], done('r1')),
-        (OPEN, Request.COMMIT, refused(state=FAILED), [done('r1'), done()], done('r1')),
-        (OPEN, Request.COMMIT, refused(state=FAILED), [done('r1'), refused()], done('r1')),
+        (OPEN, Request.COMMIT, ROLLED_BACK, [done('r1'), *[done()] * 3], done('r1')),
+        (OPEN, Request.COMMIT, ROLLED_BACK, [done('r1'), BUSY, done(), done()], done('r1')),
+        (OPEN, Request.COMMIT, ROLLED_BACK, [done(), done('r1'), done(), done()], done('r1')),
         # Nothing can tell.
         (IDLE, Request.BEGIN, BUSY, [done(state=OPEN), done(offset=8)], None),
         (OPEN, Request.STATEMENT, refused(state=FAILED), [done('r1', state=OPEN)], None),
--- a/tests/test_wire/test_confirmed_refusals.py
+++ b/tests/test_wire/test_confirmed_refusals.py
@@ -39,7 +39,7 @@
     end = FarEnd()
     end.run('-', 'BEGIN', codec.answer(b'-', state=b'T'))
     stale = codec.refusal(b'READONLY', state=b'E')
-    reply = end.run('1', 'COMMIT', stale + codec.answer(b'r1'), DONE)
+    reply = end.run('1', 'COMMIT', stale + codec.answer(b'r1'), DONE, DONE, DONE)
     assert (reply.refusal, reply.receipt) == (None, 'r1')
-    assert end.requests[-1].endswith(b'ROLLBACK\r\n')
+    assert end.requests[-3].endswith(b'ROLLBACK\r\n')
     assert end.conn.state is TxState.IDLE
