Close a connection on which a member repeats answers without end

An instance processed nothing else while a member sent the same answer again and again: repeats were dropped as long as some were received, and no other green thread runs meanwhile. In a trial with a member that did so for 5 s, a look at an idle connection took 6.6 s, in which a thread that wakes every 10 ms did not run.

100 answers are ignored at a time, before a statement, while it runs, and during a confirmation; then the connection is closed. Members repeat an answer once, so that the limit is not met otherwise.

--- a/godwitthread/platform/member_connection.py
+++ b/godwitthread/platform/member_connection.py
@@ -35,6 +35,9 @@
 CONNECT_TIMEOUT_MS = 400
 #: Time-out for the confirmation of a refusal, in ms; its requests take no slot of the member.
 CONFIRM_TIMEOUT_MS = 400
+#: Maximum number of answers that are ignored at a time. No other green thread runs while answers
+#: that were received already are processed.
+MAX_IGNORED = 100
 
 #: Requests that are no session commands. A caller may choose any id, also that of the gateway.
 _REQUESTS = {
@@ -232,11 +235,14 @@
     def _drop_repeated(self) -> None:
         """Drop repeated answers that were received; close the connection on any other input."""
         try:
-            while (reply := self._answers.poll()) is not None:
+            for _ in range(MAX_IGNORED):
+                reply = self._answers.poll()
+                if reply is None:
+                    return
                 judgement = self._alignment.judge_unsolicited(self._clock.now_ms(), reply)
                 if not self._may_read_on('', judgement):
-                    self.close()
-                    return
+                    break
+            self.close()
         except (OSError, MalformedAnswerError) as exc:
             self._lose('', exc)
             self.close()
@@ -249,7 +255,7 @@
         # slowly line by line is still processing the statement.
         self._sock.settimeout(max(1, timeout_ms) / 1000)
         self._sock.sendall(encode(line))
-        while True:
+        for _ in range(MAX_IGNORED):
             reply = self._answers.read()
             now_ms = self._clock.now_ms()
             if unsolicited:
@@ -262,22 +268,25 @@
             if judgement.verdict is Verdict.CONFIRM:
                 return self._confirm(request, statement_id, reply, end_ms)
             if not self._may_read_on(statement_id, judgement):
-                raise MisalignedError('the answer is not that to the request')
+                break
             self._limit_wait(end_ms)
+        raise MisalignedError('the answer is not that to the request')
 
     def _confirm(self, request: Request, statement_id: str, refusal: Reply, end_ms: int) -> Reply:
         """Return the own answer of a request; the refusal may be that of an earlier one."""
         search = Confirmation(self._alignment, request, refusal)
         end_ms = min(end_ms, self._clock.now_ms() + CONFIRM_TIMEOUT_MS)
+        left = MAX_IGNORED
         outcome = Irregularity.UNCONFIRMED_REFUSAL
         try:
             for number, text in enumerate(_PROBES[-len(search.probes) :]):
                 self._limit_wait(end_ms)
                 self._sock.sendall(encode(f'QUERY {GATEWAY_STATEMENT_ID} {text}'))
-                while search.answered <= number and not search.failed:
+                while search.answered <= number and not search.failed and left:
+                    left -= 1
                     self._limit_wait(end_ms)
                     search.add(self._clock.now_ms(), self._answers.read())
-            if not self._alignment.resolve(search):
+            if not left or not self._alignment.resolve(search):
                 raise MisalignedError('the refusal could not be confirmed')
             outcome = Irregularity.CONFIRMED_REFUSAL
             if search.answer is not refusal:
--- a/tests/test_wire/test_member_answers.py
+++ b/tests/test_wire/test_member_answers.py
@@ -84,6 +84,18 @@
     assert end.run('2', 'READ b', READ_2).receipt == 'r2'
 
 
+@pytest.mark.parametrize('in_flight', [False, True])
+def test_a_member_that_repeats_an_answer_without_end_loses_its_connection(in_flight):
+    """Guard against an instance that processes nothing else meanwhile."""
+    end, many = FarEnd(), READ_1 * 1_000
+    end.run('1', 'READ a', READ_1)
+    if in_flight:
+        assert end.run('2', 'READ b', many + READ_2).refusal is Refusal.LOST
+    else:
+        end.send(many)
+    assert not end.conn.alive()
+
+
 def test_a_repeated_greeting_is_no_answer():
     """Guard against a statement that fails because of the second answer to START."""
     end, greeting = FarEnd(), codec.lines(b'READY I 3.9')
