Read no more than a part of an unasked answer at a time

An instance processed nothing else while a member sent rows without end on an idle connection: the rows were read as long as some were received, and no other green thread runs meanwhile.

The rest is read with the next look, or as the rest of an answer that began before the next statement was sent, which is no answer to it. The reading of an answer to a statement in progress is unchanged.

--- a/godwitthread/platform/answer_reader.py
+++ b/godwitthread/platform/answer_reader.py
@@ -12,6 +12,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+#: Maximum number of reads of the socket in one look at what was received. No other green thread
+#: runs meanwhile.
+MAX_POLL_READS = 16
+
 _REFUSALS = {
     'BUSY': Refusal.BUSY,
     'NOSTMT': Refusal.UNPREPARED,
@@ -81,13 +85,13 @@
         """Return the next answer if it has been received to its end already."""
         if not self._lines.has_input():
             return None
-        self._source.waits = False
+        self._source.reads_left = MAX_POLL_READS
         try:
             return self.read()
         except BlockingIOError:
             return None
         finally:
-            self._source.waits = True
+            self._source.reads_left = None
 
     def discard(self) -> None:
         """Drop what was received."""
@@ -140,11 +144,12 @@
 class _Source:
     """Receiving side of a socket, which can be asked not to wait."""
 
-    __slots__ = ('_sock', 'waits')
+    __slots__ = ('_sock', 'reads_left')
 
     def __init__(self, sock: Any) -> None:
         self._sock = sock
-        self.waits = True
+        #: Number of reads that may follow, none of which waits; None if all may wait.
+        self.reads_left: int | None = None
 
     def fileno(self) -> int:
         """Return the file descriptor of the socket."""
@@ -153,7 +158,9 @@
 
     def recv(self, size: int) -> bytes:
         """Receive up to `size` bytes; raise BlockingIOError instead of waiting if so asked."""
-        if not self.waits and has_no_input(self._sock):
-            raise BlockingIOError
+        if self.reads_left is not None:
+            if not self.reads_left or has_no_input(self._sock):
+                raise BlockingIOError
+            self.reads_left -= 1
         data: bytes = self._sock.recv(size)
         return data
--- a/tests/test_wire/test_member_answers.py
+++ b/tests/test_wire/test_member_answers.py
@@ -8,6 +8,8 @@
 
 from godwitthread.core.statements import Refusal, TxState
 from godwitthread.loop import eventlet
+from godwitthread.platform import answer_reader
+from godwitthread.sockets import unread_bytes
 from tests.test_wire import codec
 from tests.test_wire.far_end import FarEnd
 
@@ -96,6 +98,14 @@
     assert not end.conn.alive()
 
 
+def test_an_answer_without_end_is_not_awaited_before_a_statement(monkeypatch):
+    """Guard against an instance that processes nothing else while rows arrive."""
+    monkeypatch.setattr(answer_reader, 'MAX_POLL_READS', 2)
+    end = FarEnd()
+    end.send(codec.lines(b'ROW ' + b'x' * 90_000))
+    assert end.conn.alive() and unread_bytes(end.conn._sock)
+
+
 def test_a_repeated_greeting_is_no_answer():
     """Guard against a statement that fails because of the second answer to START."""
     end, greeting = FarEnd(), codec.lines(b'READY I 3.9')
