--- a/godwitthread/core/answer_alignment.py
+++ b/godwitthread/core/answer_alignment.py
@@ -251,10 +251,10 @@
         #: Answer to the request, as far as it is known.
         self.answer = refusal
         #: Requests to send, one after another: PREPARE and DEALLOC of a name that is not used
-        #: otherwise. A failed transaction accepts nothing but its end.
+        #: otherwise. A failed transaction accepts nothing but its end before.
         self.probes: tuple[Request, ...] = (Request.SESSION, Request.SESSION)
         if refusal.state is TxState.FAILED:
-            self.probes = (Request.ROLLBACK,)
+            self.probes = (Request.ROLLBACK, *self.probes)
         #: Number of answers that may be that to the request.
         self.answers = 1
         #: Number of probes that were answered.
@@ -280,9 +280,9 @@
         self.failed = self.failed or not (known or seen)
 
     def _add_refusal(self, reply: Reply) -> bool:
-        deallocates = self.answered == 1
+        deallocates = self.answered == len(self.probes) - 1
         succeeded = self.answer.refusal is None
-        rolls_back = self.probes[0] is Request.ROLLBACK
+        rolls_back = self.probes[self.answered] is Request.ROLLBACK
         if (deallocates and reply.refusal is Refusal.UNPREPARED) or (rolls_back and succeeded):
             self.answered += 1
             return True
--- a/tests/test_wire/test_member_answers.py
+++ b/tests/test_wire/test_member_answers.py
@@ -8,6 +8,8 @@
 
 from godwitthread.core.statements import Refusal, TxState
 from godwitthread.loop import eventlet
+from godwitthread.platform import answer_reader
+from godwitthread.sockets import unread_bytes
 from tests.test_wire import codec
 from tests.test_wire.far_end import FarEnd
 
@@ -84,6 +86,26 @@
     assert end.run('2', 'READ b', READ_2).receipt == 'r2'
 
 
+@pytest.mark.parametrize('in_flight', [False, True])
+def test_a_member_that_repeats_an_answer_without_end_loses_its_connection(in_flight):
+    """Guard against an instance that processes nothing else meanwhile."""
+    end, many = FarEnd(), READ_1 * 1_000
+    end.run('1', 'READ a', READ_1)
+    if in_flight:
+        assert end.run('2', 'READ b', many + READ_2).refusal is Refusal.LOST
+    else:
+        end.send(many)
+    assert not end.conn.alive()
+
+
+def test_an_answer_without_end_is_not_awaited_before_a_statement(monkeypatch):
+    """Guard against an instance that processes nothing else while rows arrive."""
+    monkeypatch.setattr(answer_reader, 'MAX_POLL_READS', 2)
+    end = FarEnd()
+    end.send(codec.lines(b'ROW ' + b'x' * 90_000))
+    assert end.conn.alive() and unread_bytes(end.conn._sock)
+
+
 def test_a_repeated_greeting_is_no_answer():
     """Guard against a statement that fails because of the second answer to START."""
     end, greeting = FarEnd(), codec.lines(b'READY I 3.9')
