Free the place of a query to a replica that ends without an answer

A query of a replica's position that is cancelled, or that ends with an unexpected error, kept its connection among those in use for good, so that the pool of that member had one place less. No code cancels such a query today; found by reading in the review.

The connection is closed and released whatever ends the query.

--- a/godwitthread/gateway/groups/replica_control.py
+++ b/godwitthread/gateway/groups/replica_control.py
@@ -103,7 +103,11 @@
             self._log.failure('connection_refused', member=member_id, reason=exc.refusal.value)
             self._runner.dispatch_waiting()
             return None
-        status = query(conn)
-        pool.release(conn)
-        self._runner.dispatch_waiting()
-        return status
+        try:
+            return query(conn)
+        except BaseException:
+            conn.close()
+            raise
+        finally:
+            pool.release(conn)
+            self._runner.dispatch_waiting()
--- a/tests/test_gateway/test_untrusted_answers.py
+++ b/tests/test_gateway/test_untrusted_answers.py
@@ -5,9 +5,11 @@
 import pytest
 from greenlet import GreenletExit
 
+from godwitthread.clock import Clock
 from godwitthread.core.statements import Action, Consistency, Refusal, Reply, TxState
+from godwitthread.gateway.groups.replica_control import ReplicaControl
 from godwitthread.types import Position
-from tests.test_gateway.fakes import FakeConnection, FakeGroup, request, runner
+from tests.test_gateway.fakes import FakeConnection, FakeGroup, quiet_log, request, runner
 
 
 def lose_rollbacks(monkeypatch, group: FakeGroup, number: int) -> None:
@@ -145,3 +147,17 @@
     result = made.run('a', request('COMMIT', Action.COMMIT, first=False))
     assert result.error == 'transaction_lost'
     assert 'COMMIT' not in group.texts()
+
+
+def test_a_query_that_ends_without_an_answer_keeps_no_connection():
+    """Guard against places of a member that no statement gets any more."""
+    made = runner(FakeGroup())
+    made.run('a', request('READ i'))
+
+    def end(_):
+        raise GreenletExit
+
+    pool = made.pools['m1']
+    with pytest.raises(GreenletExit):
+        ReplicaControl(made, quiet_log(Clock()))._ask('m1', end)
+    assert not pool.total
