Let other threads run while a long answer is read

An instance processed nothing else while a member sent rows without a pause: a green thread that reads data which was received already does not wait, so that no other one runs.

Reading an answer now gives way after each 16 reads of the socket, 256 KiB, which shorter answers do not reach. The new test failed before with "assert ('r1' == 'r1' and [])" and passes now; tests/test_wire passes.

--- a/godwitthread/platform/answer_reader.py
+++ b/godwitthread/platform/answer_reader.py
@@ -6,15 +6,16 @@
 
 from godwitthread.core.memory_budget import SMALL_BYTES
 from godwitthread.core.statements import Refusal, Reply, TxState
+from godwitthread.loop import eventlet
 from godwitthread.platform.line_protocol import LineReader, LineTooLongError, parse_position
 from godwitthread.sockets import has_no_input
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-#: Maximum number of reads of the socket in one look at what was received. No other green thread
-#: runs meanwhile.
-MAX_POLL_READS = 16
+#: Maximum number of reads of the socket for which no other green thread runs: in one look at what
+#: was received, or between two breaks in reading a long answer.
+MAX_READS_AT_A_TIME = 16
 
 _REFUSALS = {
     'BUSY': Refusal.BUSY,
@@ -85,7 +86,7 @@
         """Return the next answer if it has been received to its end already."""
         if not self._lines.has_input():
             return None
-        self._source.reads_left = MAX_POLL_READS
+        self._source.reads_left = MAX_READS_AT_A_TIME
         try:
             return self.read()
         except BlockingIOError:
@@ -144,10 +145,12 @@
 class _Source:
     """Receiving side of a socket, which can be asked not to wait."""
 
-    __slots__ = ('_sock', 'reads_left')
+    __slots__ = ('_reads', '_sock', 'reads_left')
 
     def __init__(self, sock: Any) -> None:
         self._sock = sock
+        #: Number of reads since the last break.
+        self._reads = 0
         #: Number of reads that may follow, none of which waits; None if all may wait.
         self.reads_left: int | None = None
 
@@ -162,5 +165,9 @@
             if not self.reads_left or has_no_input(self._sock):
                 raise BlockingIOError
             self.reads_left -= 1
+        elif self._reads >= MAX_READS_AT_A_TIME:
+            self._reads = 0
+            eventlet.sleep(0)
+        self._reads += 1
         data: bytes = self._sock.recv(size)
         return data
--- a/tests/test_wire/test_member_answers.py
+++ b/tests/test_wire/test_member_answers.py
@@ -100,7 +100,7 @@
 
 def test_an_answer_without_end_is_not_awaited_before_a_statement(monkeypatch):
     """Guard against an instance that processes nothing else while rows arrive."""
-    monkeypatch.setattr(answer_reader, 'MAX_POLL_READS', 2)
+    monkeypatch.setattr(answer_reader, 'MAX_READS_AT_A_TIME', 2)
     end = FarEnd()
     end.send(codec.lines(b'ROW ' + b'x' * 90_000))
     assert end.conn.alive() and unread_bytes(end.conn._sock)
@@ -153,3 +153,12 @@
 def test_a_statement_of_a_caller_may_have_the_id_of_the_gateway():
     """Guard against a success that is reported as an unknown outcome because of the id."""
     assert FarEnd().run('-', 'READ a', READ_1).rows == ('x',)
+
+
+def test_other_threads_run_while_a_long_answer_is_read(monkeypatch):
+    """Guard against an instance that processes nothing else while an answer goes on."""
+    monkeypatch.setattr(answer_reader, 'MAX_READS_AT_A_TIME', 2)
+    end, turns = FarEnd(), []
+    end.send(codec.answer(b'r1', b'x' * 90_000))
+    eventlet.spawn(turns.append, 1)
+    assert end.conn._answers.read().receipt == 'r1' and turns
