Wait for the end of a connection in place of 50 ms in a test of links

That the frames arrived late is inferred: with a delay of 80 ms before they are sent, the former test fails with the same assertion and this one passes.

The verdict no longer depends on elapsed time. The test waits for the end of the connection, for 10 s at most, and then as long as before for a call that must not run. An end that never comes fails it.

--- a/tests/test_gateway/test_links.py
+++ b/tests/test_gateway/test_links.py
@@ -22,6 +22,9 @@
 from godwitthread.gateway.links import Link
 from godwitthread.gateway.statement_router import StatementRouter
 
+#: Time limit of waits for an event, in s.
+WAIT_S = 10
+
 
 class Listener:
     """Instance that answers calls on a loopback address."""
@@ -221,6 +224,9 @@
     executed = []
     listener = Listener(lambda sender, kind, body: executed.append(sender))
     near = send_frames(listener, (1, 'run', None), 'no frame')
+    with eventlet.Timeout(WAIT_S):
+        while not listener.ended:
+            eventlet.sleep(0.005)
     eventlet.sleep(0.05)
     assert (executed, len(listener.ended)) == ([], 1)
     near.close()
