Report answers of the store that are older than the copy, and its era

Nothing told a store that was restored, or that answers with old content, from a calm one: an answer that is older than the copy was dropped without a trace. It is event 217 and a metric now, beside a metric of the era in the header Store-Era. No decision uses them yet.

--- a/godwitthread/events.py
+++ b/godwitthread/events.py
@@ -104,6 +104,9 @@
             215, 'table_not_applied', 'content of a store table not applied', logging.ERROR
         ),
         _event_type(216, 'table_applied', 'content of a store table applied after a failure'),
+        _event_type(
+            217, 'store_answer_outdated', 'answer of the store older than the copy', logging.WARNING
+        ),
         _event_type(301, 'primary_suspected', 'primary suspected', logging.WARNING),
         _event_type(302, 'fence_started', 'group fencing started'),
         _event_type(303, 'member_promoted', 'member promoted'),
--- a/godwitthread/gateway/ports.py
+++ b/godwitthread/gateway/ports.py
@@ -132,6 +132,8 @@
 
     rows: tuple[StoredRow, ...]
     revision: int
+    #: Number of times that the store has come back from an older copy, 0 if it is not known.
+    era: int = 0
 
 
 class HistoryLostError(Exception):
--- a/godwitthread/gateway/store_view.py
+++ b/godwitthread/gateway/store_view.py
@@ -86,6 +86,10 @@
         #: Store version by which the content of a table had last changed.
         self._changed: dict[str, int] = {}
         self._missing: dict[str, int] = {}
+        #: Era of the newest answer of the store.
+        self.store_era = 0
+        #: Number of answers of the store that were older than the copy of their table.
+        self.outdated_answers = 0
         self._faults = {table: RowFaults() for table in self.tables()}
         #: Tables whose content could not be adopted.
         self._unapplied: dict[str, _Failure] = {}
@@ -104,6 +108,7 @@
 
     def replace(self, table: str, content: StoredRows, source: str = STORE) -> None:
         """Replace a whole table, unless the content is not newer than the copy."""
+        self._check_answer(table, content, source)
         if content.revision <= self.revision(table):
             if table in self._unapplied:
                 self._adopt(table, source)
@@ -118,6 +123,7 @@
 
     def apply_changes(self, table: str, content: StoredRows) -> None:
         """Apply the changes of a table, unless they are not newer than the copy."""
+        self._check_answer(table, content, STORE)
         if content.revision <= self.revision(table):
             return
         rows = self._tables.setdefault(table, {})
@@ -184,6 +190,21 @@
                 with contextlib.suppress(Exception):
                     self._adopt(table, STORE)
 
+    def _check_answer(self, table: str, content: StoredRows, source: str) -> None:
+        """Report an answer of the store that is older than the copy, and its era."""
+        if source != STORE:
+            return
+        self.store_era = max(self.store_era, content.era)
+        if content.revision < self.revision(table):
+            self.outdated_answers += 1
+            self._log.failure(
+                'store_answer_outdated',
+                table=table,
+                revision=content.revision,
+                copy_revision=self.revision(table),
+                era=content.era,
+            )
+
     def _adopt(self, table: str, source: str) -> None:
         now_ms = self._clock.now_ms()
         failure = self._unapplied.get(table)
--- a/godwitthread/platform/gateway_process.py
+++ b/godwitthread/platform/gateway_process.py
@@ -183,6 +183,16 @@
             'table',
             {table: partial(_not_in_force_s, view, table) for table in tables},
         )
+        metrics.gauge(
+            'godwitthread_store_era',
+            'Number of times that the store has come back from an older copy',
+            lambda: view.store_era,
+        )
+        metrics.gauge(
+            'godwitthread_store_outdated_answers',
+            'Answers of the store that were older than the copy of their table, since the start',
+            lambda: view.outdated_answers,
+        )
         if self.node.usage:
             self.node.usage.add_metrics(metrics)
         metrics.gauges(
--- a/godwitthread/platform/store.py
+++ b/godwitthread/platform/store.py
@@ -33,6 +33,10 @@
 #: Time-out for opening a connection, in ms. The kernel retransmits a lost SYN packet after 1 s at
 #: the earliest; a new attempt reaches a recovered store sooner.
 CONNECT_TIMEOUT_MS = 500
+#: Header that tells how many times the store has come back from an older copy.
+ERA_HEADER = 'Store-Era'
+#: Maximum length of that number.
+MAX_ERA_DIGITS = 6
 #: Rows per page; the store returns no more.
 PAGE_ROWS = 500
 
@@ -44,6 +48,8 @@
         self._address = address
         self._conn: http.client.HTTPConnection | None = None
         self._read_timeout_ms = READ_TIMEOUT_MS
+        #: Era of the store in its last answer, 0 without one.
+        self._era = 0
         #: Version of the newest row that this client wrote.
         self._written_revision = 0
 
@@ -58,12 +64,12 @@
             # A key with a lone surrogate is sent back as it was received.
             path = f'/v1/rows-get?{urlencode(query, errors="surrogatepass")}'
             response = self._read(path)
-            page = _decode_rows(response)
+            page = _decode_rows(response, self._era)
             rows += page.rows
             # Each page is as of a moment of its own; the changes since the first one follow.
             revision = revision or page.revision
             if not response.get('HasMore') or not page.rows:
-                return StoredRows(tuple(rows), revision)
+                return StoredRows(tuple(rows), revision, page.era)
             # `From` is inclusive, so the next page starts at the last key plus a zero byte.
             start = f'{response["rows"][-1]["Key"]}\0'
 
@@ -75,7 +81,7 @@
             response = self._call('GET', path, timeout_ms=wait_ms + CALL_TIMEOUT_MS)
         else:
             response = self._read(path)
-        return _decode_rows(response)
+        return _decode_rows(response, self._era)
 
     def interrupt(self) -> None:
         """Make a call that another green thread has in progress fail."""
@@ -148,6 +154,7 @@
             conn.request(method, path, data, headers)
             response = conn.getresponse()
             status, content = response.status, response.read()
+            self._era = _decode_era(response.getheader(ERA_HEADER))
         except (OSError, http.client.HTTPException) as exc:
             self.close()
             kind = ErrorKind.STORE_UNAVAILABLE
@@ -189,13 +196,13 @@
         return self._conn
 
 
-def _decode_rows(response: dict[str, Any]) -> StoredRows:
+def _decode_rows(response: dict[str, Any], era: int) -> StoredRows:
     """Decode rows; raise STORE_UNAVAILABLE if what the store itself adds to them is malformed."""
     try:
         rows = response['rows']
         if not isinstance(rows, list):
             raise TypeError('rows is not a list')
-        return StoredRows(tuple(map(_decode_row, rows)), _revision(response))
+        return StoredRows(tuple(map(_decode_row, rows)), _revision(response), era)
     except (KeyError, TypeError, AttributeError) as exc:
         message = f'store: malformed response: {type(exc).__name__}: {exc}'
         raise ProxyError(ErrorKind.STORE_UNAVAILABLE, message) from exc
@@ -217,6 +224,13 @@
         return b''
 
 
+def _decode_era(header: str | None) -> int:
+    """Return the era of the store, 0 without a header or with a malformed one."""
+    if header is None or len(header) > MAX_ERA_DIGITS or not header.isascii():
+        return 0
+    return int(header) if header.isdigit() else 0
+
+
 def _revision(response: dict[str, Any]) -> int:
     revision = response['Revision']
     if type(revision) is not int:
--- a/tests/test_gateway/test_store_view.py
+++ b/tests/test_gateway/test_store_view.py
@@ -78,6 +78,18 @@
     assert view.configuration.version == 7
 
 
+def test_an_answer_that_is_older_than_the_copy_is_reported():
+    """Guard against answers of a restored or lagging store that leave no trace."""
+    events = event_log()
+    view, _ = make(events)
+    view.replace('op', rows(('config', b'7'), revision=10))
+    view.apply_changes('op', rows(revision=10))
+    view.replace('op', rows(('config', b'5'), revision=9))
+    (found,) = events_named(events, 'store_answer_outdated')
+    assert (found['table'], found['revision'], found['copy_revision']) == ('op', 9, 10)
+    assert view.outdated_answers == 1
+
+
 def test_an_undecodable_row_keeps_the_last_version():
     """Guard against the loss of the configuration after an invalid row."""
     view, _ = make()
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -64,6 +64,15 @@
     assert content.revision == 7
 
 
+@pytest.mark.parametrize(
+    ('header', 'era'),
+    [(None, 0), ('', 0), ('0', 0), ('3', 3), ('-1', 0), ('1e3', 0), ('²', 0), ('9' * 40, 0)],
+)
+def test_the_era_of_the_store_is_read_from_its_header(header, era):
+    """Guard against a header that ends the reading of a table."""
+    assert store._decode_era(header) == era
+
+
 def test_an_interrupted_call_fails_at_once(server):
     """Guard against a call without an answer that can't be given up."""
     address, delay_s = server
