Reproduce copies that are wrong after the store was restored

Callers see statements handled as by replaced configurations. The stand-in store learns to come back from an older copy: versions go back and are given out again, and the header Store-Era rises.

--- a/godwitthread/standin/rows.py
+++ b/godwitthread/standin/rows.py
@@ -5,9 +5,10 @@
 import base64
 import json
 import random
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, NamedTuple
 from urllib.parse import parse_qs
 
+from godwitthread.clock import Clock
 from godwitthread.loop import eventlet
 from godwitthread.sockets import listen
 
@@ -24,11 +25,24 @@
 MUTED_CALL_S = 60.0
 
 
+class Change(NamedTuple):
+    """Change of one row, and what it replaced."""
+
+    at_ms: int
+    revision: int
+    table: str
+    key: str
+    #: Former content and revision, None if the row did not exist.
+    former: tuple[str, int] | None
+
+
 class RowStore:
     """Row store with revisions, a change feed and fault injection."""
 
     def __init__(self, seed: int = 0) -> None:
         self.revision = 1
+        #: Number of times that the store has come back from an older copy.
+        self.era = 0
         #: Outage mode: 'busy' answers 503, 'silent' delays that answer by 30 s; None while
         #: the store is available.
         self.outage: str | None = None
@@ -39,9 +53,10 @@
         self.muted: set[str] = set()
         self.calls = 0
         self._rows: dict[tuple[str, str], tuple[str, int]] = {}
-        self._history: list[tuple[int, str, str]] = []
+        self._history: list[Change] = []
         self._oldest = 0
         self._random = random.Random(seed)
+        self._clock = Clock()
 
     def put(self, table: str, key: str, value: Any) -> None:
         """Write a row on behalf of the platform."""
@@ -59,6 +74,25 @@
         self._oldest = self.revision
         self._history.clear()
 
+    def restore(self, age_ms: int) -> list[Change]:
+        """Come back from a copy of `age_ms` ago; return the lost changes, oldest first.
+
+        Revisions go back and are given out again. Waiting feed requests are answered with 503.
+        """
+        oldest_ms = self._clock.now_ms() - age_ms
+        lost: list[Change] = []
+        while self._history and self._history[-1].at_ms > oldest_ms:
+            change = self._history.pop()
+            lost.insert(0, change)
+            if change.former is None:
+                self._rows.pop((change.table, change.key), None)
+            else:
+                self._rows[change.table, change.key] = change.former
+        if lost:
+            self.revision = lost[0].revision - 1
+        self.era += 1
+        return lost
+
     def application(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
         """Serve the store as a WSGI application."""
         self.calls += 1
@@ -67,21 +101,21 @@
         if self.outage == 'silent':
             eventlet.sleep(30)
         if self.outage:
-            return _answer(start_response, 503, {})
+            return self._answer(start_response, 503, {})
         path = environ['PATH_INFO']
         query = {
             key: values[0] for key, values in parse_qs(environ.get('QUERY_STRING', '')).items()
         }
         if path == '/v1/rows-get':
-            return _answer(start_response, 200, self._get(query))
+            return self._answer(start_response, 200, self._get(query))
         if path == '/v1/rows-feed':
-            return _answer(start_response, *self._feed(query))
+            return self._answer(start_response, *self._feed(query))
         if path == '/v1/rows-tx':
             status, body = self._transact(json.loads(environ['wsgi.input'].read()))
             if status == 200 and self._random.random() < self.lost_answer_share:
                 eventlet.sleep(30)
-            return _answer(start_response, status, body)
-        return _answer(start_response, 404, {})
+            return self._answer(start_response, status, body)
+        return self._answer(start_response, 404, {})
 
     def application_for(self, caller: str) -> Callable[[dict[str, Any], Any], Iterable[bytes]]:
         """Return a WSGI application for one caller, which can be muted.
@@ -100,6 +134,9 @@
 
         return application
 
+    def _answer(self, start_response: Any, status: int, body: dict[str, Any]) -> Iterable[bytes]:
+        return _answer(start_response, status, body, [('Store-Era', str(self.era))])
+
     def _get(self, query: dict[str, str]) -> dict[str, Any]:
         table, start = query['Table'], query.get('From', '')
         rows = [
@@ -116,16 +153,18 @@
 
     def _feed(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
         table, after = query['Table'], int(query['after'])
-        waited_s = 0.0
+        waited_s, era = 0.0, self.era
         while True:
             if after < self._oldest or after > self.revision:
                 return 410, {}
-            changed = {key for at, name, key in self._history if at > after and name == table}
+            changed = {
+                each.key for each in self._history if each.revision > after and each.table == table
+            }
             if changed or waited_s * 1000 >= int(query.get('WaitTimeoutMs', 0)):
                 break
             eventlet.sleep(FEED_POLL_S)
             waited_s += FEED_POLL_S
-            if self.outage:
+            if self.outage or self.era != era:
                 return 503, {}
         rows = []
         for key in sorted(changed):
@@ -148,13 +187,12 @@
         return 200, {'Revision': self.revision}
 
     def _write(self, table: str, key: str, value: str | None) -> None:
-        if value is None:
-            self._rows.pop((table, key), None)
-        else:
+        former = self._rows.pop((table, key), None)
+        if value is not None:
             self._rows[table, key] = value, self.revision
-        self._history.append((self.revision, table, key))
+        self._history.append(Change(self._clock.now_ms(), self.revision, table, key, former))
         if len(self._history) > MAX_HISTORY_ENTRIES:
-            self._oldest = self._history.pop(0)[0]
+            self._oldest = self._history.pop(0).revision
 
 
 class PromotionEndpoint:
@@ -194,9 +232,14 @@
     return row | ({'Deleted': True} if value is None else {'Value': value})
 
 
-def _answer(start_response: Any, status: int, body: dict[str, Any]) -> Iterable[bytes]:
+def _answer(
+    start_response: Any,
+    status: int,
+    body: dict[str, Any],
+    headers: list[tuple[str, str]] | None = None,
+) -> Iterable[bytes]:
     data = json.dumps(body).encode()
-    start_response(
-        f'{status} -', [('Content-Type', 'application/json'), ('Content-Length', str(len(data)))]
-    )
+    length = str(len(data))
+    fields = [('Content-Type', 'application/json'), ('Content-Length', length), *(headers or [])]
+    start_response(f'{status} -', fields)
     return [data]
--- /dev/null
+++ b/tests/test_system/test_restored_store.py
@@ -0,0 +1,72 @@
+"""Gateway instances whose store comes back from an older copy."""
+
+from __future__ import annotations
+
+import pytest
+
+from godwitthread.loop import eventlet
+from tests.test_system.gateways import GatewayDeployment, wait_until
+
+#: Time after its acceptance within which a change is in force at every instance, in ms: `ApplyMs`
+#: of the deployments.
+APPLY_MS = 3_000
+
+
+@pytest.fixture
+def start():
+    """Return a function that starts gateway instances for a single test."""
+    deployments = []
+
+    def start_deployment(instances: int) -> GatewayDeployment:
+        deployments.append(GatewayDeployment(instances))
+        eventlet.sleep(5)
+        return deployments[-1]
+
+    yield start_deployment
+    for each in deployments:
+        each.stop()
+
+
+def test_changes_after_a_restore_are_in_force(start):
+    """Guard against instances that ignore the store until its counter passes their version."""
+    deployment = start(9)
+    for _ in range(20):
+        deployment.configure()
+    eventlet.sleep(1)
+    deployment.store.restore(2_000)
+    deployment.configure()
+    deployment.store.put('op', 'evacuate/stord', {})
+    assert not deployment.watch(8, APPLY_MS)
+    assert all(node.view.evacuated == {'stord'} for node in deployment.nodes)
+
+
+def test_a_copy_of_the_time_before_a_restore_is_not_completed_by_later_changes(start):
+    """Guard against a copy that lacks what was written under versions given out again."""
+    deployment = start(9)
+    deployment.store.put('op', 'evacuate/bergen-a', {})
+    for number in range(20):
+        deployment.announce(f'm{number}', 'ready')
+    eventlet.sleep(1)
+    deployment.mute(deployment.nodes)
+    deployment.store.restore(2_000)
+    deployment.store.put('op', 'evacuate/stord', {})
+    for number in range(40):
+        deployment.announce(f'm{number}', 'ready')
+    deployment.unmute()
+    deployment.configure()
+    eventlet.sleep(APPLY_MS / 1000)
+    assert all('stord' in node.view.evacuated for node in deployment.nodes)
+
+
+def test_the_store_is_not_called_without_a_pause_after_a_restore(start):
+    """Guard against a loop of calls for changes, which get 410, and reads of the whole table."""
+    deployment = start(9)
+    for _ in range(20):
+        deployment.configure()
+    eventlet.sleep(1)
+    deployment.store.restore(2_000)
+    wait_until(lambda: all(node.view.store_era == 1 for node in deployment.nodes))
+    calls = deployment.store.calls
+    eventlet.sleep(10)
+    # One call a second for each of the three tables at most, and the waits for changes.
+    assert deployment.store.calls - calls <= 3 * 10 + 9 * 3
