Order versions of the store across its restores

Seen: after the store came back from an older copy, no change of the configuration was in force until the store's counter had passed its former value, and what was written below that value never was; instances called the store 999 times in 10 s. Cause: a version was taken for proof of a content. Versions of a restored store are given out again, so that an answer of the new era counted as older than the copy, and changes after the copy's version completed a copy of the former era. Change: the adapter combines the era from the header Store-Era with the store's counter in one integer, which compares by era first. Changes of another era, and pages of two eras, complete no copy; a condition that held in another era leaves the outcome of a write unknown. The digest of a copy leaves the era out and is compared together with it, so that builds without eras see equal digests. Event 218 reports each change of the era with both versions.

--- a/godwitthread/core/table_freshness.py
+++ b/godwitthread/core/table_freshness.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 from godwitthread.core.freshness import FreshnessState
+from godwitthread.core.store_version import era_of
 
 #: Age of the evidence at which the first reader of the store renews it, in ms.
 PROBE_INTERVAL_MS = 1_000
@@ -32,9 +33,14 @@
 
     #: Store version up to which the copy holds all changes.
     revision: int
-    #: Digest of the keys and versions of all rows, which includes rows that were removed.
+    #: Digest of the keys and versions of all rows, which includes rows that were removed. It leaves
+    #: the era out, so that it equals that of a build which knows no eras.
     digest: int
 
+    def has_rows_of(self, other: TableContent) -> bool:
+        """Return whether both have the same rows; a restored store gives versions out again."""
+        return self.digest == other.digest and era_of(self.revision) == era_of(other.revision)
+
 
 class TableReport(NamedTuple):
     """Content of the copy at a peer."""
@@ -109,7 +115,7 @@
         else:
             self._newer.discard(peer)
         # Evidence for the same or for older content holds for the own copy as well.
-        same = content.digest == self._content.digest
+        same = content.has_rows_of(self._content)
         version = self._content.revision if same else content.revision
         self._state.peer_summary(echo_ms, version, report.evidence_age_ms, None)
         if report.evidence_age_ms is not None:
@@ -150,7 +156,7 @@
 
     def _is_newer(self, peer: str) -> bool:
         content, own = self._peers[peer], self._content
-        return content.revision > own.revision and content.digest != own.digest
+        return content.revision > own.revision and not content.has_rows_of(own)
 
     def _has_taken_over(self) -> bool:
         """Return whether this instance renews the evidence, since no other one does."""
@@ -163,12 +169,12 @@
     """Open call for the changes of a table."""
 
     def __init__(self, content: TableContent) -> None:
-        self._digest = content.digest
+        self._content = content
         self._overtaken_ms: int | None = None
 
     def is_dead(self, now_ms: int, content: TableContent, behind: bool) -> bool:
         """Return whether the call has not delivered a change that is known otherwise."""
-        if content.digest == self._digest and not behind:
+        if content.has_rows_of(self._content) and not behind:
             self._overtaken_ms = None
             return False
         if self._overtaken_ms is None:
--- a/godwitthread/events.py
+++ b/godwitthread/events.py
@@ -107,6 +107,12 @@
         _event_type(
             217, 'store_answer_outdated', 'answer of the store older than the copy', logging.WARNING
         ),
+        _event_type(
+            218,
+            'store_restored',
+            'store came back from an older copy, table reloaded',
+            logging.WARNING,
+        ),
         _event_type(301, 'primary_suspected', 'primary suspected', logging.WARNING),
         _event_type(302, 'fence_started', 'group fencing started'),
         _event_type(303, 'member_promoted', 'member promoted'),
--- a/godwitthread/gateway/ports.py
+++ b/godwitthread/gateway/ports.py
@@ -132,12 +132,13 @@
 
     rows: tuple[StoredRow, ...]
     revision: int
-    #: Number of times that the store has come back from an older copy, 0 if it is not known.
-    era: int = 0
 
 
 class HistoryLostError(Exception):
-    """Raised when the store no longer keeps the changes after a version."""
+    """Raised when the store does not know the changes after a version.
+
+    It no longer keeps them, or it came back from a copy that is older than the version.
+    """
 
 
 class ConditionFailedError(Exception):
@@ -152,7 +153,10 @@
 
 
 class Store(Protocol):
-    """Client of the store; its methods raise ProxyError with a STORE_* kind."""
+    """Client of the store; its methods raise ProxyError with a STORE_* kind.
+
+    All versions are combined ones, see `core.store_version`.
+    """
 
     def table(self, table: str) -> StoredRows:
         """Read a whole table."""
--- a/godwitthread/gateway/promotion_duty.py
+++ b/godwitthread/gateway/promotion_duty.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from godwitthread.core.store_version import counter_of
 from godwitthread.errors import ErrorKind, ProxyError
 from godwitthread.gateway.ports import ConditionFailedError
 
@@ -105,7 +106,11 @@
         holder, revision = self._read()
         # A malformed row hides the tokens in use. Each batch took a write of its own, and the
         # store's version rises with each write, so that this is above all of them.
-        first = holder.first_token + TOKEN_BATCH if holder else max(1, revision) * TOKEN_BATCH
+        first = (
+            holder.first_token + TOKEN_BATCH
+            if holder
+            else max(1, counter_of(revision)) * TOKEN_BATCH
+        )
         mine = Holder(self._name, self._incarnation, first)
         try:
             store = self._ports.store()
@@ -188,7 +193,7 @@
                     'row_undecodable',
                     table=DUTY_TABLE,
                     row=PROMOTION_ROW,
-                    revision=revision,
+                    revision=counter_of(revision),
                     reason=str(exc),
                 )
             return None
--- a/godwitthread/gateway/store_view.py
+++ b/godwitthread/gateway/store_view.py
@@ -13,6 +13,7 @@
 from godwitthread.address import parse_address
 from godwitthread.core.catalog import Peer
 from godwitthread.core.row_faults import RowFault, RowFaults
+from godwitthread.core.store_version import counter_of, era_of
 from godwitthread.core.table_freshness import TableContent
 from godwitthread.gateway.ports import StoredRow, StoredRows, Undecodable
 
@@ -86,8 +87,6 @@
         #: Store version by which the content of a table had last changed.
         self._changed: dict[str, int] = {}
         self._missing: dict[str, int] = {}
-        #: Era of the newest answer of the store.
-        self.store_era = 0
         #: Number of answers of the store that were older than the copy of their table.
         self.outdated_answers = 0
         self._faults = {table: RowFaults() for table in self.tables()}
@@ -98,6 +97,11 @@
         """Return the names of the copied tables."""
         return self._schema.operator_table, self._schema.member_table, PEER_TABLE
 
+    @property
+    def store_era(self) -> int:
+        """Return the newest era of the store that is known."""
+        return era_of(max(self._revisions.values(), default=0))
+
     def revision(self, table: str) -> int:
         """Return the store version of the copy of a table, 0 without a copy."""
         return self._revisions.get(table, 0)
@@ -191,18 +195,27 @@
                     self._adopt(table, STORE)
 
     def _check_answer(self, table: str, content: StoredRows, source: str) -> None:
-        """Report an answer of the store that is older than the copy, and its era."""
-        if source != STORE:
-            return
-        self.store_era = max(self.store_era, content.era)
-        if content.revision < self.revision(table):
+        """Report an answer of the store that is older than the copy, and a restored store."""
+        known = self.revision(table)
+        if source == STORE and content.revision < known:
             self.outdated_answers += 1
             self._log.failure(
                 'store_answer_outdated',
                 table=table,
-                revision=content.revision,
-                copy_revision=self.revision(table),
-                era=content.era,
+                era=era_of(content.revision),
+                revision=counter_of(content.revision),
+                copy_era=era_of(known),
+                copy_revision=counter_of(known),
+            )
+        elif known and era_of(content.revision) > era_of(known):
+            self._log.event(
+                'store_restored',
+                table=table,
+                era=era_of(content.revision),
+                revision=counter_of(content.revision),
+                former_era=era_of(known),
+                former_revision=counter_of(known),
+                source=source,
             )
 
     def _adopt(self, table: str, source: str) -> None:
@@ -226,9 +239,10 @@
 
     def _decode(self, table: str, source: str) -> None:
         rows = self._tables[table]
-        digest = _digest(rows)
-        if digest != self._digests.get(table):
-            self._digests[table], self._changed[table] = digest, self._revisions[table]
+        revision, digest = self._revisions[table], _digest(rows)
+        restored = era_of(revision) != era_of(self._changed.get(table, 0))
+        if digest != self._digests.get(table) or restored:
+            self._digests[table], self._changed[table] = digest, revision
         if table == self._schema.operator_table:
             self._report_faults(table, self._decode_operator_rows(rows, source))
         elif table == self._schema.member_table:
@@ -253,7 +267,8 @@
             self._log.event(
                 'configuration_adopted',
                 version=cfg.version,
-                revision=row.revision,
+                era=era_of(row.revision),
+                revision=counter_of(row.revision),
                 source=source,
             )
         if cfg.left_out:
@@ -310,7 +325,7 @@
                 'row_undecodable',
                 table=table,
                 row=key,
-                revision=fault.revision,
+                revision=counter_of(fault.revision),
                 reason=fault.reason,
             )
         for number, (key, age_ms) in enumerate(changes.ended_ms.items()):
@@ -330,8 +345,8 @@
 
 
 def _digest(rows: dict[str, StoredRow]) -> int:
-    # The version of a row identifies its content.
-    text = '\n'.join(f'{key}\0{rows[key].revision}' for key in sorted(rows))
+    # The version of a row identifies its content within an era.
+    text = '\n'.join(f'{key}\0{counter_of(rows[key].revision)}' for key in sorted(rows))
     return int(xxhash.xxh64_intdigest(text.encode()))
 
 
--- a/godwitthread/gateway/usage_duty.py
+++ b/godwitthread/gateway/usage_duty.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from godwitthread.core import usage_windows
+from godwitthread.core.store_version import counter_of
 from godwitthread.core.usage_windows import MAX_NUMBER
 from godwitthread.errors import ProxyError
 from godwitthread.gateway.ports import ConditionFailedError, UsageReport, UsageResult
@@ -263,7 +264,7 @@
         if seen.row is None or self._refused:
             # Each batch of tokens took a write of the row, and the store's version rises with each
             # write, so that this is above all tokens of a malformed or removed row.
-            token = max(token, seen.store_revision * TOKEN_BATCH)
+            token = max(token, counter_of(seen.store_revision) * TOKEN_BATCH)
         mine = row._replace(name=self._name, incarnation=self._incarnation, token=token)
         self._write(mine, seen.revision)
         self._seen = None
@@ -441,7 +442,7 @@
                         'row_undecodable',
                         table=DUTY_TABLE,
                         row=USAGE_ROW,
-                        revision=stored.revision,
+                        revision=counter_of(stored.revision),
                         reason='malformed',
                     )
                 return SeenRow(row, stored.revision, content.revision, self._clock.now_ms())
--- a/godwitthread/platform/store.py
+++ b/godwitthread/platform/store.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Any
 from urllib.parse import urlencode
 
+from godwitthread.core.store_version import MAX_ERA, combine, counter_of, era_of
 from godwitthread.errors import ErrorKind, ProxyError
 from godwitthread.gateway.ports import (
     ConditionFailedError,
@@ -65,23 +66,30 @@
             path = f'/v1/rows-get?{urlencode(query, errors="surrogatepass")}'
             response = self._read(path)
             page = _decode_rows(response, self._era)
+            if rows and era_of(page.revision) != era_of(revision):
+                message = 'store: restored between two pages of a table'
+                raise ProxyError(ErrorKind.STORE_UNAVAILABLE, message)
             rows += page.rows
             # Each page is as of a moment of its own; the changes since the first one follow.
             revision = revision or page.revision
             if not response.get('HasMore') or not page.rows:
-                return StoredRows(tuple(rows), revision, page.era)
+                return StoredRows(tuple(rows), revision)
             # `From` is inclusive, so the next page starts at the last key plus a zero byte.
             start = f'{response["rows"][-1]["Key"]}\0'
 
     def changes(self, table: str, revision: int, wait_ms: int) -> StoredRows:
         """Wait for changes of a table; raise HistoryLostError or STORE_UNAVAILABLE."""
-        query = {'Table': table, 'after': revision, 'WaitTimeoutMs': wait_ms}
+        query = {'Table': table, 'after': counter_of(revision), 'WaitTimeoutMs': wait_ms}
         path = f'/v1/rows-feed?{urlencode(query)}'
         if wait_ms:
             response = self._call('GET', path, timeout_ms=wait_ms + CALL_TIMEOUT_MS)
         else:
             response = self._read(path)
-        return _decode_rows(response, self._era)
+        content = _decode_rows(response, self._era)
+        if era_of(content.revision) != era_of(revision):
+            # The store has a version of the same number, with other content before it.
+            raise HistoryLostError
+        return content
 
     def interrupt(self) -> None:
         """Make a call that another green thread has in progress fail."""
@@ -92,15 +100,18 @@
         """Write a row, optionally only at an expected revision, and return its new revision.
 
         Raise ConditionFailedError if the row has another revision, STORE_UNAVAILABLE if
-        nothing was written, or STORE_UNKNOWN if the write may take effect now or later.
+        nothing was written, or STORE_UNKNOWN if the write may take effect now or later, or took
+        effect in place of another content.
         """
         row_key = {'Table': table, 'part': '', 'Key': key}
-        expected = [] if expected_revision is None else [{**row_key, 'Revision': expected_revision}]
+        expected = []
+        if expected_revision is not None:
+            expected = [{**row_key, 'Revision': counter_of(expected_revision)}]
         write = {**row_key, 'Value': base64.b64encode(value).decode()}
         body = {'ExpectedRev': expected, 'Writes': [write], 'Remove': []}
         response = self._call('POST', '/v1/rows-tx', body)
         try:
-            revision = _revision(response)
+            revision = combine(self._era, _revision(response))
         except (KeyError, TypeError) as exc:
             message = f'store: malformed response: {type(exc).__name__}: {exc}'
             raise ProxyError(ErrorKind.STORE_UNKNOWN, message) from exc
@@ -110,13 +121,17 @@
             # Versions increase with each write, so this is the response to an earlier one.
             self.close()
             raise ProxyError(ErrorKind.STORE_UNKNOWN, f'store: version {revision} returned again')
+        if expected_revision and era_of(expected_revision) != self._era:
+            # The store was restored meanwhile: a row of that number may have another content.
+            message = f'store: the condition was of era {era_of(expected_revision)}'
+            raise ProxyError(ErrorKind.STORE_UNKNOWN, message)
         return revision
 
     def remove(self, table: str, key: str, expected_revision: int) -> None:
         """Remove a row at an expected revision; raise the same errors as `put`."""
         row_key = {'Table': table, 'part': '', 'Key': key}
         body = {
-            'ExpectedRev': [{**row_key, 'Revision': expected_revision}],
+            'ExpectedRev': [{**row_key, 'Revision': counter_of(expected_revision)}],
             'Writes': [],
             'Remove': [row_key],
         }
@@ -202,18 +217,19 @@
         rows = response['rows']
         if not isinstance(rows, list):
             raise TypeError('rows is not a list')
-        return StoredRows(tuple(map(_decode_row, rows)), _revision(response), era)
+        decoded = tuple(_decode_row(row, era) for row in rows)
+        return StoredRows(decoded, combine(era, _revision(response)))
     except (KeyError, TypeError, AttributeError) as exc:
         message = f'store: malformed response: {type(exc).__name__}: {exc}'
         raise ProxyError(ErrorKind.STORE_UNAVAILABLE, message) from exc
 
 
-def _decode_row(row: dict[str, Any]) -> StoredRow:
+def _decode_row(row: dict[str, Any], era: int) -> StoredRow:
     # Keys and values are from any writer. JSON strings can have lone surrogates, which no other
     # encoding has.
     key = row['Key'].encode('utf-8', 'backslashreplace').decode()
     value = None if row.get('Deleted') else _decode_value(row.get('Value'))
-    return StoredRow(key, value, _revision(row))
+    return StoredRow(key, value, combine(era, _revision(row)))
 
 
 def _decode_value(value: Any) -> bytes:
@@ -228,7 +244,7 @@
     """Return the era of the store, 0 without a header or with a malformed one."""
     if header is None or len(header) > MAX_ERA_DIGITS or not header.isascii():
         return 0
-    return int(header) if header.isdigit() else 0
+    return min(int(header), MAX_ERA) if header.isdigit() else 0
 
 
 def _revision(response: dict[str, Any]) -> int:
--- a/tests/test_gateway/test_table_freshness.py
+++ b/tests/test_gateway/test_table_freshness.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from godwitthread.core.store_version import combine
 from godwitthread.core.table_freshness import (
     FEED_GRACE_MS,
     MAX_PROBERS,
@@ -52,6 +53,20 @@
     assert own.evidence_ms == 5_000
 
 
+def test_content_of_a_later_era_is_newer_even_with_the_same_digest():
+    """Guard against a copy of a former era that counts as equal to one of a restored store."""
+    restored = TableContent(combine(1, OLD.revision - 5), OLD.digest)
+    own = freshness(OLD)
+    own.peer_reported('b', report(restored), 5_000)
+    assert (own.newer_peers(), own.evidence_ms) == ({'b'}, 0)
+    own.update_content(restored)
+    own.peer_reported('c', report(NEW), 6_000)
+    assert not own.newer_peers()
+    call = FeedCall(OLD)
+    assert not call.is_dead(0, restored, behind=False)
+    assert call.is_dead(FEED_GRACE_MS, restored, behind=False)
+
+
 def test_content_of_an_unreachable_peer_is_forgotten():
     """Guard against requests to a peer that is gone."""
     own = freshness(OLD)
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -6,8 +6,9 @@
 import pytest
 
 from godwitthread.address import Address
+from godwitthread.core.store_version import combine
 from godwitthread.errors import ErrorKind, ProxyError
-from godwitthread.gateway.ports import StoreUnreachableError
+from godwitthread.gateway.ports import HistoryLostError, StoreUnreachableError
 from godwitthread.platform import store
 
 
@@ -73,6 +74,81 @@
     assert store._decode_era(header) == era
 
 
+def era_client(monkeypatch, *answers):
+    """Build a client whose calls return the given (era, response) pairs, and list the calls."""
+    client, script, calls = store.StoreClient(Address('127.0.0.1', 1)), list(answers), []
+
+    def call(method, path, body=None, **__):
+        calls.append(body or path)
+        client._era, response = script.pop(0)
+        return response
+
+    monkeypatch.setattr(client, '_call', call)
+    return client, calls
+
+
+def page(revision, has_more=False):
+    """Build a page with one row."""
+    row = {'Key': 'a', 'Value': '', 'Revision': revision}
+    return {'rows': [row], 'HasMore': has_more, 'Revision': revision}
+
+
+def test_versions_of_a_restored_store_are_above_those_before(monkeypatch):
+    """Guard against a store that is ignored until its counter passes the version of a copy."""
+    client, calls = era_client(monkeypatch, (1, page(300)), (2, page(285)), (2, page(290)))
+    before, after = client.table('op'), client.table('op')
+    assert after.revision > before.revision
+    assert after.rows[0].revision > before.rows[0].revision
+    assert client.changes('op', after.revision, 0).revision > after.revision
+    assert 'after=285&' in calls[-1]
+
+
+@pytest.mark.parametrize('era', [0, 1, 3])
+def test_changes_of_another_era_do_not_complete_a_copy(monkeypatch, era):
+    """Guard against a copy that lacks what was written under versions given out again."""
+    client, _ = era_client(monkeypatch, (era, page(310)))
+    with pytest.raises(HistoryLostError):
+        client.changes('op', combine(2, 300), 0)
+
+
+def test_a_table_is_not_put_together_from_two_eras(monkeypatch):
+    """Guard against rows of a gone era in a copy of the restored store."""
+    client, _ = era_client(monkeypatch, (1, page(300, has_more=True)), (2, page(285)))
+    with pytest.raises(ProxyError) as raised:
+        client.table('op')
+    assert raised.value.kind is ErrorKind.STORE_UNAVAILABLE
+
+
+@pytest.mark.parametrize(
+    ('expected', 'sent', 'known'),
+    [
+        (combine(2, 7), 7, True),
+        (0, 0, True),
+        (None, None, True),
+        # The row of that number may have had another content when the store was restored.
+        (combine(1, 7), 7, False),
+    ],
+)
+def test_a_write_under_a_condition_of_another_era_is_unknown(monkeypatch, expected, sent, known):
+    """Guard against a condition that holds for a content which its writer has never seen."""
+    client, calls = era_client(monkeypatch, (2, {'Revision': 9}))
+    if known:
+        assert client.put('duties', 'k', b'', expected) == combine(2, 9)
+    else:
+        with pytest.raises(ProxyError) as raised:
+            client.put('duties', 'k', b'', expected)
+        assert raised.value.kind is ErrorKind.STORE_UNKNOWN
+    assert [each['Revision'] for each in calls[0]['ExpectedRev']] == (
+        [] if sent is None else [sent]
+    )
+
+
+def test_a_write_after_a_restore_is_not_taken_for_an_earlier_one(monkeypatch):
+    """Guard against writes that count as unknown until the counter passes its former value."""
+    client, _ = era_client(monkeypatch, (1, {'Revision': 9}), (2, {'Revision': 7}))
+    assert client.put('instances', 'a', b'') < client.put('instances', 'a', b'')
+
+
 def test_an_interrupted_call_fails_at_once(server):
     """Guard against a call without an answer that can't be given up."""
     address, delay_s = server
--- a/tests/test_system/test_restored_store.py
+++ b/tests/test_system/test_restored_store.py
@@ -5,7 +5,7 @@
 import pytest
 
 from godwitthread.loop import eventlet
-from tests.test_system.gateways import GatewayDeployment, wait_until
+from tests.test_system.gateways import GatewayDeployment
 
 #: Time after its acceptance within which a change is in force at every instance, in ms: `ApplyMs`
 #: of the deployments.
@@ -64,8 +64,11 @@
     for _ in range(20):
         deployment.configure()
     eventlet.sleep(1)
+    calls = deployment.store.calls
     deployment.store.restore(2_000)
-    wait_until(lambda: all(node.view.store_era == 1 for node in deployment.nodes))
+    eventlet.sleep(2)
+    # Each of the nine instances gets 503, 410 and the whole table, and calls again, for each table.
+    assert deployment.store.calls - calls <= 9 * 3 * 4 + 3 * 2
     calls = deployment.store.calls
     eventlet.sleep(10)
     # One call a second for each of the three tables at most, and the waits for changes.
