Keep what a restored store lacks until it is written again

Seen: in the time between a restore of the store and the second writing of the operators, members and instances, an instance ended evacuations, sent work to members that drain, and lost the other instances; one that started then served the configuration of the copy, with withdrawn keys. Cause: the content of the restored store replaced the copy as a whole, although it is older than what was in force. Change: on a change of the era, the rows of the former copy hold until the store has them again: a configuration until one of its version or a later one is written, the entry of a member by its start and count, that of an instance by its process and departure. Entries of members that the store lacks hold for 2.5 s and then count as missing, evacuations for 60 s, as nothing tells an ended one from one that is still to be written. Peers exchange these rows under names of their own, which builds without them do not ask for, so that an instance that starts or was late has them as well. Event 219 and a metric show which rows are awaited.

--- a/godwitthread/events.py
+++ b/godwitthread/events.py
@@ -113,6 +113,7 @@
             'store came back from an older copy, table reloaded',
             logging.WARNING,
         ),
+        _event_type(219, 'restored_table_complete', 'restored store has all rows of a table again'),
         _event_type(301, 'primary_suspected', 'primary suspected', logging.WARNING),
         _event_type(302, 'fence_started', 'group fencing started'),
         _event_type(303, 'member_promoted', 'member promoted'),
--- /dev/null
+++ b/godwitthread/gateway/former_tables.py
@@ -0,0 +1,174 @@
+"""Rows of all store tables from before a restore of the store, and their exchange with peers."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from godwitthread.core.former_rows import FormerRows
+from godwitthread.core.store_version import counter_of, era_of
+from godwitthread.core.table_freshness import TableContent
+from godwitthread.gateway.ports import StoredRow, StoredRows, Undecodable
+from godwitthread.gateway.store_rows import (
+    PEER_TABLE,
+    Snapshot,
+    decode_peer,
+    decode_row,
+    digest_of,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from godwitthread.clock import Clock
+    from godwitthread.gateway.logs import Log
+    from godwitthread.gateway.ports import Schema
+
+#: End of the name under which the rows of a table are sent to peers.
+FORMER_SUFFIX = '@former'
+#: Time for which an evacuation holds that a restored store lacks, in ms. The operators write it
+#: again unless they have ended it, and nothing tells these two apart.
+EVACUATION_HOLD_MS = 60_000
+#: Time for which a member holds whose entry a restored store lacks, in ms. Members write their
+#: entries again within 2 s.
+MEMBER_HOLD_MS = 2_500
+
+
+class FormerTables:
+    """Rows that hold although a restored store does not have them again."""
+
+    def __init__(self, schema: Schema, clock: Clock, log: Log) -> None:
+        self._schema = schema
+        self._clock = clock
+        self._log = log
+        self._tables: dict[str, FormerRows[StoredRow]] = {
+            schema.operator_table: FormerRows(self._hold_operator_row),
+            schema.member_table: FormerRows(self._hold_member),
+            PEER_TABLE: FormerRows(_hold_peer),
+        }
+
+    def names(self) -> tuple[str, ...]:
+        """Return the names under which peers know the tables."""
+        return tuple(map(_former_name, self._tables))
+
+    def rows(self, table: str) -> dict[str, StoredRow]:
+        """Return the rows of a table that hold until the store has them again."""
+        return self._tables[table].rows
+
+    def age_ms(self, table: str) -> int:
+        """Return the time since the restore became known, in ms."""
+        return self._clock.now_ms() - self._tables[table].since_ms
+
+    def content(self, name: str) -> TableContent:
+        """Return what identifies the rows of a table, given the name that peers know."""
+        former = self._tables[name.removesuffix(FORMER_SUFFIX)]
+        return TableContent(former.revision, digest_of(former.rows))
+
+    def revisions(self) -> dict[str, int]:
+        """Return the versions of the copies that the rows are from, by the names for peers."""
+        return {_former_name(table): each.revision for table, each in self._tables.items()}
+
+    def newer_than(self, revisions: dict[str, int]) -> tuple[Snapshot, ...]:
+        """Return the tables for a peer that names them with older versions."""
+        # Older builds name none of them, and do not know them.
+        return tuple(
+            Snapshot(_former_name(table), former.revision, tuple(former.rows.values()))
+            for table, former in self._tables.items()
+            if former.revision > revisions.get(_former_name(table), former.revision)
+        )
+
+    def keep(
+        self,
+        table: str,
+        rows: Mapping[str, StoredRow],
+        revision: int,
+        restored: StoredRows,
+        source: str,
+    ) -> None:
+        """Keep the rows of a copy that the content of the restored store lacks."""
+        former = self._tables[table]
+        current = {row.key: row for row in restored.rows}
+        former.add(self._clock.now_ms(), revision, former.over(rows), current)
+        self._log.event(
+            'store_restored',
+            table=table,
+            era=era_of(restored.revision),
+            revision=counter_of(restored.revision),
+            former_era=era_of(revision),
+            former_revision=counter_of(revision),
+            kept_rows=len(former.rows),
+            source=source,
+        )
+
+    def adopt(
+        self,
+        snapshot: Snapshot,
+        tables: Mapping[str, Mapping[str, StoredRow]],
+        revisions: Mapping[str, int],
+    ) -> str | None:
+        """Add the rows that a peer has kept; return their table, None if they are not newer."""
+        table = snapshot.table.removesuffix(FORMER_SUFFIX)
+        if table not in self._tables or table not in tables:
+            return None
+        if era_of(snapshot.revision) >= era_of(revisions[table]):
+            return None
+        rows = {row.key: row for row in snapshot.rows}
+        former, now_ms = self._tables[table], self._clock.now_ms()
+        return table if former.add(now_ms, snapshot.revision, rows, tables[table]) else None
+
+    def over(self, table: str, rows: dict[str, StoredRow]) -> dict[str, StoredRow]:
+        """Return the rows of the store with those that hold in place of them."""
+        former = self._tables.get(table)
+        return former.over(rows) if former is not None and former.rows else rows
+
+    def end(self, table: str, rows: Mapping[str, StoredRow]) -> bool:
+        """Drop the rows that the store has again, or that held for long enough."""
+        former = self._tables.get(table)
+        if former is None or not former.rows:
+            return False
+        ended = former.end(self._clock.now_ms(), rows)
+        if not former.rows:
+            self._log.event('restored_table_complete', table=table, after_ms=self.age_ms(table))
+        return bool(ended)
+
+    def _hold_operator_row(self, former: StoredRow, current: StoredRow | None) -> float:
+        if former.key.startswith(self._schema.evacuation_prefix):
+            return EVACUATION_HOLD_MS if current is None else 0
+        if former.key != self._schema.configuration_key:
+            return 0
+        # A withdrawn key must not work again, so that only a newer version ends this one.
+        return math.inf if self._version(former) > self._version(current) else 0
+
+    def _version(self, row: StoredRow | None) -> int:
+        """Return the version of a configuration, -1 if there is none."""
+        cfg = decode_row(self._schema.configuration, row.value or b'') if row else None
+        return -1 if cfg is None or isinstance(cfg, Undecodable) else cfg.version
+
+    def _hold_member(self, former: StoredRow, current: StoredRow | None) -> float:
+        if current is None:
+            return MEMBER_HOLD_MS
+        order = self._schema.member_order(former.value or b'')
+        restored = self._schema.member_order(current.value or b'')
+        return math.inf if order and restored and order > restored else 0
+
+
+def is_former_name(name: str) -> bool:
+    """Return whether peers know rows from before a restore by this name."""
+    return name.endswith(FORMER_SUFFIX)
+
+
+def _former_name(table: str) -> str:
+    return f'{table}{FORMER_SUFFIX}'
+
+
+def _hold_peer(former: StoredRow, current: StoredRow | None) -> float:
+    # An entry must not lapse while its instance may run: a majority is one of all entries.
+    return math.inf if _peer_order(former) > _peer_order(current) else 0
+
+
+def _peer_order(row: StoredRow | None) -> tuple[int, bool]:
+    """Return what orders the entries of an instance: its process, and whether that has ended."""
+    peer = decode_row(decode_peer, row.key, row.value or b'') if row else None
+    if peer is None or isinstance(peer, Undecodable):
+        return -1, False
+    return peer.incarnation, peer.departed
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -36,8 +36,9 @@
 from godwitthread.gateway.sessions import ANONYMOUS, Sessions
 from godwitthread.gateway.start_gate import StartGate
 from godwitthread.gateway.statement_router import StatementRouter
+from godwitthread.gateway.store_rows import PEER_TABLE
 from godwitthread.gateway.store_sync import ReaderRole, StoreSync
-from godwitthread.gateway.store_view import PEER_TABLE, StoreView
+from godwitthread.gateway.store_view import StoreView
 from godwitthread.gateway.stray_answers import stray_answer_reporter
 from godwitthread.loop import eventlet
 
@@ -391,6 +392,7 @@
         run_all(
             (
                 self.view.drop_missing_members,
+                self.view.end_former_rows,
                 self.view.retry,
                 self.store_sync.tick,
                 self.start_gate.update,
--- a/godwitthread/gateway/peer_eviction.py
+++ b/godwitthread/gateway/peer_eviction.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from godwitthread.gateway.store_view import PEER_TABLE
+from godwitthread.gateway.store_rows import PEER_TABLE
 from godwitthread.loop import eventlet
 
 if TYPE_CHECKING:
--- a/godwitthread/gateway/peer_sync.py
+++ b/godwitthread/gateway/peer_sync.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from godwitthread.errors import ProxyError
-from godwitthread.gateway.store_view import Snapshot
+from godwitthread.gateway.store_rows import Snapshot
 from godwitthread.loop import eventlet
 
 if TYPE_CHECKING:
--- a/godwitthread/gateway/ports.py
+++ b/godwitthread/gateway/ports.py
@@ -190,6 +190,8 @@
     evacuation_prefix: str
     configuration: Callable[[bytes], Configuration | Undecodable]
     member: Callable[[str, bytes], Member | Undecodable]
+    #: Returns what orders the entries that a member writes, None if an entry does not tell.
+    member_order: Callable[[bytes], tuple[int, int] | None] = lambda _: None
 
 
 class PromotionResult(NamedTuple):
--- a/godwitthread/gateway/registration.py
+++ b/godwitthread/gateway/registration.py
@@ -9,7 +9,7 @@
 from godwitthread.errors import ProxyError
 from godwitthread.gateway import promotion_duty
 from godwitthread.gateway.isolation import run_all
-from godwitthread.gateway.store_view import PEER_TABLE, encode_peer
+from godwitthread.gateway.store_rows import PEER_TABLE, encode_peer
 from godwitthread.loop import eventlet
 
 if TYPE_CHECKING:
--- a/godwitthread/gateway/store_sync.py
+++ b/godwitthread/gateway/store_sync.py
@@ -17,7 +17,7 @@
 from godwitthread.gateway.peer_sync import PeerSync
 from godwitthread.gateway.store_health import StoreHealth
 from godwitthread.gateway.store_probe import StoreProbe
-from godwitthread.gateway.store_view import PEER_TABLE
+from godwitthread.gateway.store_rows import PEER_TABLE
 from godwitthread.gateway.store_watcher import (
     MIN_CALL_INTERVAL_MS,
     PEER_TABLE_INTERVAL_MS,
@@ -64,7 +64,9 @@
         self._clock = clock
         self._log = log
         self._role = role
-        self._tables = {table: TableFreshness() for table in view.tables()}
+        names = (*view.tables(), *view.former.names())
+        self._tables = {table: TableFreshness() for table in names}
+        self._store_tables = frozenset(view.tables())
         self._stale: set[str] = set()
         #: Content of the tables at the last tick.
         self._contents: dict[str, TableContent] = {}
@@ -105,7 +107,9 @@
         now_ms = self._clock.now_ms()
         for table, freshness in self._tables.items():
             freshness.update_content(self._view.content(table))
-            if freshness.behind_ms(now_ms) >= FEED_GRACE_MS:
+            # The store does not deliver rows from before it was restored.
+            grace_ms = FEED_GRACE_MS if table in self._store_tables else 0
+            if freshness.newer_peers() and freshness.behind_ms(now_ms) >= grace_ms:
                 eventlet.spawn_n(self.peers.poll_peer)
             self._report_staleness(table, freshness.is_fresh(now_ms))
         self._update_states()
@@ -152,6 +156,7 @@
         self._states_for_readers = tuple(
             TableState(table, self._contents[table].digest, freshness.own_evidence_ms)
             for table, freshness in self._tables.items()
+            if table in self._store_tables or self._contents[table].revision
         )
         self._states_for_others = tuple(
             state._replace(evidence_ms=None) for state in self._states_for_readers
@@ -163,8 +168,8 @@
     def _on_answer(self, begun_ms: int, revision: int, probe: bool) -> None:
         # The store has one counter for all tables: a copy of this version or a later one lacked
         # nothing when the answer was created.
-        for table, freshness in self._tables.items():
-            content = self._view.content(table)
+        for table in self._store_tables:
+            freshness, content = self._tables[table], self._view.content(table)
             if content.revision >= revision:
                 freshness.update_content(content)
                 freshness.store_answered(begun_ms, probe)
--- a/godwitthread/gateway/store_view.py
+++ b/godwitthread/gateway/store_view.py
@@ -3,60 +3,42 @@
 from __future__ import annotations
 
 import contextlib
-import functools
 import logging
 from typing import TYPE_CHECKING, NamedTuple
 
-import msgspec
-import xxhash
-
-from godwitthread.address import parse_address
-from godwitthread.core.catalog import Peer
 from godwitthread.core.row_faults import RowFault, RowFaults
 from godwitthread.core.store_version import counter_of, era_of
 from godwitthread.core.table_freshness import TableContent
+from godwitthread.gateway.former_tables import FormerTables, is_former_name
 from godwitthread.gateway.ports import StoredRow, StoredRows, Undecodable
+from godwitthread.gateway.store_rows import (
+    MAX_REASON_LENGTH,
+    PEER_TABLE,
+    Snapshot,
+    decode_peer,
+    decode_row,
+    digest_of,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from typing import Any
 
     from godwitthread.clock import Clock
-    from godwitthread.core.catalog import Configuration, Member
+    from godwitthread.core.catalog import Configuration, Member, Peer
     from godwitthread.gateway.logs import Log
     from godwitthread.gateway.ports import Schema
 
 logger = logging.getLogger(__name__)
 
-#: Table of the store in which the instances register themselves.
-PEER_TABLE = 'instances'
 #: Source of content that was read from the store; other sources are names of instances.
 STORE = 'store'
 #: Time after which a member whose entry disappeared from the store is dropped, in ms. Entries
 #: that expired during a store outage reappear within 2 s of its end.
 MISSING_MEMBER_MS = 2_500
-#: Maximum length of the reason in an event; a decoder may quote the content, up to 1 MB.
-MAX_REASON_LENGTH = 200
 #: Number of rows of one answer that are reported without the rate limit for failures.
 MAX_REPORTS = 20
 #: Interval at which content is applied again after a failure, in ms. It needs no call to the store.
 APPLY_RETRY_MS = 1_000
-#: Number of decoded entries of instances that are kept.
-DECODED_PEERS = 2_048
-#: Upper bound of the capacity of an instance, in cores.
-MAX_CAPACITY = 10_000
-#: Upper bound of a start time in ms: an integer that all JSON readers keep.
-MAX_INCARNATION = 2**53
-
-_peers = msgspec.json.Decoder(Peer)
-
-
-class Snapshot(NamedTuple):
-    """Content of one table as sent from one instance to another."""
-
-    table: str
-    revision: int
-    rows: tuple[StoredRow, ...]
 
 
 class _Failure(NamedTuple):
@@ -87,6 +69,9 @@
         #: Store version by which the content of a table had last changed.
         self._changed: dict[str, int] = {}
         self._missing: dict[str, int] = {}
+        #: Rows from before a restore of the store.
+        self.former = FormerTables(schema, clock, log)
+        self._configuration_era = 0
         #: Number of answers of the store that were older than the copy of their table.
         self.outdated_answers = 0
         self._faults = {table: RowFaults() for table in self.tables()}
@@ -108,22 +93,31 @@
 
     def content(self, table: str) -> TableContent:
         """Return what identifies the content of the copy of a table."""
+        if is_former_name(table):
+            return self.former.content(table)
         return TableContent(self.revision(table), self._digests.get(table, 0))
 
     def replace(self, table: str, content: StoredRows, source: str = STORE) -> None:
         """Replace a whole table, unless the content is not newer than the copy."""
         self._check_answer(table, content, source)
-        if content.revision <= self.revision(table):
+        known = self.revision(table)
+        if content.revision <= known:
             if table in self._unapplied:
                 self._adopt(table, source)
             return
-        self._tables[table] = {row.key: row for row in content.rows}
+        rows = {row.key: row for row in content.rows}
+        if known and era_of(content.revision) > era_of(known):
+            self.former.keep(table, self._tables[table], known, content, source)
+        self._tables[table] = rows
         self._revisions[table] = content.revision
         self._adopt(table, source)
 
     def replace_from(self, snapshot: Snapshot, peer: str) -> None:
         """Replace a table by the copy of another instance if that is newer."""
-        self.replace(snapshot.table, StoredRows(snapshot.rows, snapshot.revision), peer)
+        if not is_former_name(snapshot.table):
+            self.replace(snapshot.table, StoredRows(snapshot.rows, snapshot.revision), peer)
+        elif table := self.former.adopt(snapshot, self._tables, self._revisions):
+            self._adopt(table, peer)
 
     def apply_changes(self, table: str, content: StoredRows) -> None:
         """Apply the changes of a table, unless they are not newer than the copy."""
@@ -153,15 +147,16 @@
 
     def newer_than(self, revisions: dict[str, int]) -> tuple[Snapshot, ...]:
         """Return the tables whose content has changed since the given versions."""
-        return tuple(
+        tables = tuple(
             Snapshot(table, self._revisions[table], tuple(rows.values()))
             for table, rows in self._tables.items()
             if self._changed.get(table, 0) > revisions.get(table, 0)
         )
+        return tables + self.former.newer_than(revisions)
 
     def revisions(self) -> dict[str, int]:
-        """Return the store version of the copy of every table."""
-        return dict(self._revisions)
+        """Return the version of the copy of every table, and of the rows from before a restore."""
+        return self._revisions | (self.former.revisions() if self.store_era else {})
 
     def row_revision(self, table: str, key: str) -> int:
         """Return the version of a row, 0 if it does not exist."""
@@ -186,6 +181,12 @@
         if gone:
             self._adopt(self._schema.member_table, STORE)
 
+    def end_former_rows(self) -> None:
+        """Drop rows from before a restore that have held for long enough."""
+        for table, rows in self._tables.items():
+            if self.former.end(table, rows):
+                self._adopt(table, STORE)
+
     def retry(self) -> None:
         """Apply content again whose last attempt failed APPLY_RETRY_MS ago."""
         now_ms = self._clock.now_ms()
@@ -195,7 +196,7 @@
                     self._adopt(table, STORE)
 
     def _check_answer(self, table: str, content: StoredRows, source: str) -> None:
-        """Report an answer of the store that is older than the copy, and a restored store."""
+        """Report an answer of the store that is older than the copy."""
         known = self.revision(table)
         if source == STORE and content.revision < known:
             self.outdated_answers += 1
@@ -207,16 +208,6 @@
                 copy_era=era_of(known),
                 copy_revision=counter_of(known),
             )
-        elif known and era_of(content.revision) > era_of(known):
-            self._log.event(
-                'store_restored',
-                table=table,
-                era=era_of(content.revision),
-                revision=counter_of(content.revision),
-                former_era=era_of(known),
-                former_revision=counter_of(known),
-                source=source,
-            )
 
     def _adopt(self, table: str, source: str) -> None:
         now_ms = self._clock.now_ms()
@@ -239,10 +230,12 @@
 
     def _decode(self, table: str, source: str) -> None:
         rows = self._tables[table]
-        revision, digest = self._revisions[table], _digest(rows)
+        revision, digest = self._revisions[table], digest_of(rows)
         restored = era_of(revision) != era_of(self._changed.get(table, 0))
         if digest != self._digests.get(table) or restored:
             self._digests[table], self._changed[table] = digest, revision
+        self.former.end(table, rows)
+        rows = self.former.over(table, rows)
         if table == self._schema.operator_table:
             self._report_faults(table, self._decode_operator_rows(rows, source))
         elif table == self._schema.member_table:
@@ -259,15 +252,17 @@
         row = rows.get(self._schema.configuration_key)
         if row is None:
             return {}
-        cfg = _decode_row(self._schema.configuration, row.value or b'')
+        cfg = decode_row(self._schema.configuration, row.value or b'')
         if isinstance(cfg, Undecodable):
             return {row.key: RowFault(row.revision, cfg.reason)}
-        if self.configuration is None or cfg.version > self.configuration.version:
-            self.configuration = cfg
+        # A restored store may have another content under the version that is in force.
+        era, known = era_of(row.revision), self.configuration
+        if known is None or (cfg.version, era) > (known.version, self._configuration_era):
+            self.configuration, self._configuration_era = cfg, era
             self._log.event(
                 'configuration_adopted',
                 version=cfg.version,
-                era=era_of(row.revision),
+                era=era,
                 revision=counter_of(row.revision),
                 source=source,
             )
@@ -280,7 +275,7 @@
         members: dict[str, Member] = {}
         faults: dict[str, RowFault] = {}
         for key, row in rows.items():
-            member = _decode_row(self._schema.member, key, row.value or b'')
+            member = decode_row(self._schema.member, key, row.value or b'')
             if isinstance(member, Undecodable):
                 faults[key] = RowFault(row.revision, member.reason)
             else:
@@ -303,7 +298,7 @@
         peers: dict[str, Peer] = {}
         faults: dict[str, RowFault] = {}
         for key, row in rows.items():
-            peer = _decode_row(decode_peer, key, row.value or b'')
+            peer = decode_row(decode_peer, key, row.value or b'')
             if not isinstance(peer, Undecodable):
                 peers[key] = peer
                 continue
@@ -331,39 +326,3 @@
         for number, (key, age_ms) in enumerate(changes.ended_ms.items()):
             write = self._log.event if number < MAX_REPORTS else self._log.failure
             write('row_recovered', table=table, row=key, malformed_ms=age_ms)
-
-
-def _decode_row(decode: Callable[..., Any], *args: Any) -> Any:
-    """Decode one row; no content of a row may stop the adoption of the others."""
-    try:
-        decoded = decode(*args)
-    except Exception as exc:
-        decoded = Undecodable(f'{type(exc).__name__}: {exc}')
-    if isinstance(decoded, Undecodable):
-        return Undecodable(decoded.reason[:MAX_REASON_LENGTH])
-    return decoded
-
-
-def _digest(rows: dict[str, StoredRow]) -> int:
-    # The version of a row identifies its content within an era.
-    text = '\n'.join(f'{key}\0{counter_of(rows[key].revision)}' for key in sorted(rows))
-    return int(xxhash.xxh64_intdigest(text.encode()))
-
-
-def encode_peer(peer: Peer) -> bytes:
-    """Return the content of the row of an instance."""
-    # Older builds accept no further field, so that only a process that has ended adds one.
-    return msgspec.json.encode(peer if peer.departed else peer[:-1])
-
-
-# The whole table is decoded after each change, and only one row of hundreds has changed.
-@functools.lru_cache(maxsize=DECODED_PEERS)
-def decode_peer(name: str, value: bytes) -> Peer:
-    """Decode the content of the row of an instance; raise ValueError."""
-    peer = _peers.decode(value)
-    parse_address(str(peer.address))
-    if peer.name != name:
-        raise ValueError(f'the entry names instance {peer.name!r}')
-    if not 0 < peer.capacity <= MAX_CAPACITY or not 0 <= peer.incarnation <= MAX_INCARNATION:
-        raise ValueError(f'invalid capacity {peer.capacity} or incarnation {peer.incarnation}')
-    return peer
--- a/godwitthread/platform/gateway_process.py
+++ b/godwitthread/platform/gateway_process.py
@@ -188,6 +188,12 @@
             'Number of times that the store has come back from an older copy',
             lambda: view.store_era,
         )
+        metrics.gauges(
+            'godwitthread_store_awaited_rows',
+            'Rows of a table that hold although a restored store does not have them again',
+            'table',
+            {table: partial(_awaited_rows, view, table) for table in tables},
+        )
         metrics.gauge(
             'godwitthread_store_outdated_answers',
             'Answers of the store that were older than the copy of their table, since the start',
@@ -400,5 +406,9 @@
         self._log.event('settings_changed', accepted=True)
 
 
+def _awaited_rows(view: StoreView, table: str) -> int:
+    return len(view.former.rows(table))
+
+
 def _not_in_force_s(view: StoreView, table: str) -> float:
     return view.not_in_force_ms(table) / 1000
--- a/godwitthread/platform/row_decoding.py
+++ b/godwitthread/platform/row_decoding.py
@@ -46,6 +46,18 @@
     return _decode_json(lambda data: _member(member_id, data), value)
 
 
+def member_order(value: bytes) -> tuple[int, int] | None:
+    """Return what orders the entries of a backend server: its start and its count of entries."""
+    order = _decode_json(
+        lambda data: (
+            int(_number(data, 'born', MAX_INTEGER, default=0)),
+            int(_number(data, 'Seq', MAX_INTEGER)),
+        ),
+        value,
+    )
+    return None if isinstance(order, Undecodable) else order
+
+
 def _decode_json(decode: Callable[[Any], Any], value: bytes) -> Any:
     try:
         # Unlike the standard library, msgspec accepts neither `Infinity` nor a lone surrogate.
@@ -194,4 +206,6 @@
 
 
 #: Tables and keys defined by the platform: operators write `op`, members write `servers`.
-SCHEMA = Schema('op', 'servers', 'config', 'evacuate/', decode_configuration, decode_member)
+SCHEMA = Schema(
+    'op', 'servers', 'config', 'evacuate/', decode_configuration, decode_member, member_order
+)
--- a/tests/test_gateway/test_peer_sync.py
+++ b/tests/test_gateway/test_peer_sync.py
@@ -10,7 +10,8 @@
 from godwitthread.core.catalog import Peer
 from godwitthread.gateway.peer_sync import PeerSync, ViewAnswer
 from godwitthread.gateway.ports import StoredRow
-from godwitthread.gateway.store_view import Snapshot, StoreView
+from godwitthread.gateway.store_rows import Snapshot
+from godwitthread.gateway.store_view import StoreView
 from tests.test_gateway.fakes import FakeGroup, ports, quiet_log
 
 
--- a/tests/test_gateway/test_registration.py
+++ b/tests/test_gateway/test_registration.py
@@ -10,7 +10,8 @@
 from godwitthread.errors import ErrorKind, ProxyError
 from godwitthread.gateway.ports import ConditionFailedError, Ports, StoredRow, StoredRows
 from godwitthread.gateway.registration import mark_departed
-from godwitthread.gateway.store_view import PEER_TABLE, StoreView, decode_peer, encode_peer
+from godwitthread.gateway.store_rows import PEER_TABLE, decode_peer, encode_peer
+from godwitthread.gateway.store_view import StoreView
 from godwitthread.platform.row_decoding import SCHEMA
 from tests.test_gateway.fakes import quiet_log
 
--- a/tests/test_gateway/test_store_view.py
+++ b/tests/test_gateway/test_store_view.py
@@ -11,10 +11,11 @@
 from godwitthread.clock import Clock
 from godwitthread.core.catalog import Peer
 from godwitthread.events import EventLog, HybridLogicalClock
-from godwitthread.gateway import store_view
+from godwitthread.gateway import store_rows, store_view
 from godwitthread.gateway.logs import FAILURE_BURST, Log
 from godwitthread.gateway.ports import Schema, StoredRow, StoredRows, Undecodable
-from godwitthread.gateway.store_view import PEER_TABLE, StoreView, encode_peer
+from godwitthread.gateway.store_rows import PEER_TABLE, encode_peer
+from godwitthread.gateway.store_view import StoreView
 from tests import malformed
 from tests.test_gateway.fakes import configuration, member, quiet_log
 
@@ -257,7 +258,7 @@
     view, _ = make(events)
     view.replace('servers', rows(('bad', b'"' + b'x' * 100_000), revision=5))
     (found,) = events_named(events, 'row_undecodable')
-    assert len(found['reason']) <= store_view.MAX_REASON_LENGTH
+    assert len(found['reason']) <= store_rows.MAX_REASON_LENGTH
 
 
 def test_a_member_whose_entry_becomes_malformed_is_dropped_after_a_grace_period():
@@ -288,14 +289,14 @@
     """Guard against content that is neither in force nor reported after an unexpected error."""
     events = event_log()
     view, time = make(events)
-    digest, failures = store_view._digest, [OverflowError('scripted')]
+    digest, failures = store_view.digest_of, [OverflowError('scripted')]
 
     def fail_once(rows):
         if failures:
             raise failures.pop()
         return digest(rows)
 
-    monkeypatch.setattr(store_view, '_digest', fail_once)
+    monkeypatch.setattr(store_view, 'digest_of', fail_once)
     with pytest.raises(OverflowError):
         view.replace('op', rows(('config', b'7'), revision=10))
     assert events_named(events, 'table_not_applied')
@@ -342,17 +343,17 @@
         view.replace(PEER_TABLE, rows(('a', value), revision=revision))
         for peer in view.peers.values():
             assert peer.name == 'a'
-            assert 0 < peer.capacity <= store_view.MAX_CAPACITY
+            assert 0 < peer.capacity <= store_rows.MAX_CAPACITY
             assert 0 < peer.address.port < 65_536
             assert ipaddress.ip_address(peer.address.host)
-            assert 0 <= peer.incarnation <= store_view.MAX_INCARNATION
+            assert 0 <= peer.incarnation <= store_rows.MAX_INCARNATION
 
 
 def test_older_builds_can_decode_the_entry_of_a_running_instance():
     """Guard against entries with a field that an older build takes for malformed."""
     assert len(json.loads(encode_peer(PEER))) == 5
     departed = PEER._replace(departed=True)
-    assert store_view.decode_peer(PEER.name, encode_peer(departed)) == departed
+    assert store_rows.decode_peer(PEER.name, encode_peer(departed)) == departed
 
 
 def test_an_entry_with_the_name_of_another_instance_is_malformed():
@@ -378,11 +379,11 @@
     entries = [(f'i{n}', encode_peer(PEER._replace(name=f'i{n}'))) for n in range(500)]
     view, _ = make()
     view.replace(PEER_TABLE, rows(*entries, revision=3))
-    misses = store_view.decode_peer.cache_info().misses
+    misses = store_rows.decode_peer.cache_info().misses
     changed = encode_peer(PEER._replace(name='i7', incarnation=6))
     view.apply_changes(PEER_TABLE, rows(('i7', changed), revision=4))
     assert view.peers['i7'].incarnation == 6
-    assert store_view.decode_peer.cache_info().misses == misses + 1
+    assert store_rows.decode_peer.cache_info().misses == misses + 1
 
 
 def test_an_entry_that_is_left_out_is_reported_and_the_others_are_in_force():
--- a/tests/test_system/gateways.py
+++ b/tests/test_system/gateways.py
@@ -78,7 +78,7 @@
         self.store.put('op', 'config', content)
         self.changes.append(Change(version, self.clock.now_ms()))
 
-    def announce(self, member: str, state: str, domain: str = DOMAINS[0]) -> None:
+    def announce(self, member: str, state: str, domain: str = DOMAINS[0], count: int = 1) -> None:
         """Write the entry of a member to the store."""
         entry = {
             'Service': GROUP,
@@ -88,7 +88,7 @@
             'State': state,
             'ColdLeftMs': 0,
             'DbRole': 'primary',
-            'Seq': 1,
+            'Seq': count,
             'born': 1,
         }
         self.store.put('servers', member, entry)
@@ -108,11 +108,15 @@
 
     def outdated(self, limit_ms: int) -> list[str]:
         """Return the instances that lack a version accepted more than `limit_ms` ago."""
+        return self.outdated_among(self.nodes, limit_ms)
+
+    def outdated_among(self, nodes: list[Node], limit_ms: int) -> list[str]:
+        """Return those of some instances that lack a version accepted more than `limit_ms` ago."""
         settled_ms = self.clock.now_ms() - limit_ms
         required = max(each.version for each in self.changes if each.accepted_ms <= settled_ms)
         return [
             f'{node.peer.name} has {version(node)}, not {required}'
-            for node in self.nodes
+            for node in nodes
             if version(node) < required
         ]
 
--- a/tests/test_system/test_restored_store.py
+++ b/tests/test_system/test_restored_store.py
@@ -73,3 +73,37 @@
     eventlet.sleep(10)
     # One call a second for each of the three tables at most, and the waits for changes.
     assert deployment.store.calls - calls <= 3 * 10 + 9 * 3
+
+
+def test_what_the_operators_wrote_holds_until_they_write_it_again(start):
+    """Guard against instances that go back to the configuration of an older copy."""
+    deployment = start(9)
+    deployment.configure()
+    eventlet.sleep(1)
+    deployment.configure()
+    deployment.store.put('op', 'evacuate/stord', {})
+    deployment.announce('m0', 'draining', count=2)
+    eventlet.sleep(APPLY_MS / 1000)
+    lost = deployment.store.restore(3_500)
+    assert {change.key for change in lost} >= {'config', 'evacuate/stord', 'm0'}
+    deployment.start(9)
+    for _ in range(50):
+        eventlet.sleep(0.1)
+        views = [node.view for node in deployment.nodes if node.ready()]
+        assert not deployment.outdated_among(deployment.nodes[:9], 0)
+        assert all(view.evacuated == {'stord'} for view in views)
+        assert all(view.members['m0'].draining for view in views)
+    assert len(views) == 10
+    assert not deployment.outdated(0)
+
+
+def test_all_instances_are_candidates_while_their_entries_are_lost(start):
+    """Guard against a majority of the instances that have written their entries again first."""
+    deployment = start(9)
+    deployment.store.restore(60_000)
+    deployment.configure()
+    deployment.announce('m0', 'ready')
+    for _ in range(60):
+        eventlet.sleep(0.1)
+        assert all(len(node.view.peers) == 9 and node.ready() for node in deployment.nodes)
+    assert not any(node.view.former.rows('instances') for node in deployment.nodes)
