Learn what a restored store lacks before an instance becomes ready

Cause: it read the store before its peers knew of the restore. Their copies, of the former era, counted as older, and rows that a peer had kept were asked for only after the instance was ready. Change: an instance treats the copy of a peer in an earlier era like rows that are kept from it, and is ready for the first time once no reachable peer has such rows that it lacks, for 2 s at most. A copy with the same digest is not sent.

--- a/godwitthread/core/table_freshness.py
+++ b/godwitthread/core/table_freshness.py
@@ -127,6 +127,11 @@
         self._peers.pop(peer, None)
         self._newer.discard(peer)
 
+    def earlier_copies(self) -> dict[str, TableContent]:
+        """Return the content of the peers that do not know of the newest restore yet."""
+        era = era_of(self._content.revision)
+        return {peer: each for peer, each in self._peers.items() if era_of(each.revision) < era}
+
     def newer_peers(self) -> set[str]:
         """Return the peers that hold newer content."""
         return self._newer
--- a/godwitthread/gateway/former_tables.py
+++ b/godwitthread/gateway/former_tables.py
@@ -46,10 +46,12 @@
             schema.member_table: FormerRows(self._hold_member),
             PEER_TABLE: FormerRows(_hold_peer),
         }
+        #: Digests of the copies that the rows are from.
+        self._digests: dict[str, int] = {}
 
     def names(self) -> tuple[str, ...]:
         """Return the names under which peers know the tables."""
-        return tuple(map(_former_name, self._tables))
+        return tuple(map(former_name, self._tables))
 
     def rows(self, table: str) -> dict[str, StoredRow]:
         """Return the rows of a table that hold until the store has them again."""
@@ -61,20 +63,20 @@
 
     def content(self, name: str) -> TableContent:
         """Return what identifies the rows of a table, given the name that peers know."""
-        former = self._tables[name.removesuffix(FORMER_SUFFIX)]
-        return TableContent(former.revision, digest_of(former.rows))
+        table = name.removesuffix(FORMER_SUFFIX)
+        return TableContent(self._tables[table].revision, self._digests.get(table, 0))
 
     def revisions(self) -> dict[str, int]:
         """Return the versions of the copies that the rows are from, by the names for peers."""
-        return {_former_name(table): each.revision for table, each in self._tables.items()}
+        return {former_name(table): each.revision for table, each in self._tables.items()}
 
     def newer_than(self, revisions: dict[str, int]) -> tuple[Snapshot, ...]:
         """Return the tables for a peer that names them with older versions."""
         # Older builds name none of them, and do not know them.
         return tuple(
-            Snapshot(_former_name(table), former.revision, tuple(former.rows.values()))
+            Snapshot(former_name(table), former.revision, tuple(former.rows.values()))
             for table, former in self._tables.items()
-            if former.revision > revisions.get(_former_name(table), former.revision)
+            if former.revision > revisions.get(former_name(table), former.revision)
         )
 
     def keep(
@@ -89,6 +91,7 @@
         former = self._tables[table]
         current = {row.key: row for row in restored.rows}
         former.add(self._clock.now_ms(), revision, former.over(rows), current)
+        self._digests[table] = digest_of(rows)
         self._log.event(
             'store_restored',
             table=table,
@@ -114,7 +117,10 @@
             return None
         rows = {row.key: row for row in snapshot.rows}
         former, now_ms = self._tables[table], self._clock.now_ms()
-        return table if former.add(now_ms, snapshot.revision, rows, tables[table]) else None
+        if not former.add(now_ms, snapshot.revision, rows, tables[table]):
+            return None
+        self._digests[table] = digest_of(rows)
+        return table
 
     def over(self, table: str, rows: dict[str, StoredRow]) -> dict[str, StoredRow]:
         """Return the rows of the store with those that hold in place of them."""
@@ -157,7 +163,8 @@
     return name.endswith(FORMER_SUFFIX)
 
 
-def _former_name(table: str) -> str:
+def former_name(table: str) -> str:
+    """Return the name under which peers know the rows of a table from before a restore."""
     return f'{table}{FORMER_SUFFIX}'
 
 
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -83,6 +83,7 @@
         self._guard = guard
         self._ports = ports
         self._minority_since_ms = 0
+        self._informed = False
         self.view = StoreView(ports.schema, clock, log, self._on_store_change)
         self.store_sync = StoreSync(
             peer.name,
@@ -225,8 +226,15 @@
             and self.view.configuration is not None
             and self.start_gate.reached
             and self.ownership_manager.has_majority()
+            and self._knows_former_rows()
         )
 
+    def _knows_former_rows(self) -> bool:
+        """Return whether this instance may have the rows that a restored store lacks."""
+        # An instance that has been ready goes on with the rows that it had before the restore.
+        self._informed = self._informed or not self.store_sync.lacks_former_rows()
+        return self._informed
+
     def heartbeat_status(self) -> HeartbeatStatus:
         """Return the status that peers receive with each heartbeat."""
         return HeartbeatStatus(self.leaving, self.start_gate.ready, self.duty.token)
--- a/godwitthread/gateway/store_sync.py
+++ b/godwitthread/gateway/store_sync.py
@@ -14,6 +14,7 @@
     TableState,
     TableStates,
 )
+from godwitthread.gateway.former_tables import former_name
 from godwitthread.gateway.peer_sync import PeerSync
 from godwitthread.gateway.store_health import StoreHealth
 from godwitthread.gateway.store_probe import StoreProbe
@@ -37,6 +38,11 @@
     from godwitthread.gateway.store_view import StoreView
 
 
+#: Time for which an instance that starts waits for rows that a restored store lacks, in ms. A peer
+#: that knows them reports so when its link is up, and answers a request for them at once.
+FORMER_ROWS_WAIT_MS = 2_000
+
+
 class ReaderRole(NamedTuple):
     """Part of an instance in reading the store."""
 
@@ -105,6 +111,7 @@
     def tick(self) -> None:
         """Fetch changes that peers report, and give up calls that did not deliver them."""
         now_ms = self._clock.now_ms()
+        self._compare_eras()
         for table, freshness in self._tables.items():
             freshness.update_content(self._view.content(table))
             # The store does not deliver rows from before it was restored.
@@ -124,6 +131,15 @@
         evidence_ms = self._tables[table].evidence_ms
         return None if evidence_ms is None else self._clock.now_ms() - evidence_ms
 
+    def lacks_former_rows(self) -> bool:
+        """Return whether a peer has rows that a restored store may lack, and this one has not."""
+        now_ms = self._clock.now_ms()
+        self._compare_eras()
+        return any(
+            freshness.newer_peers() and freshness.behind_ms(now_ms) < FORMER_ROWS_WAIT_MS
+            for freshness in map(self._tables.__getitem__, self._view.former.names())
+        )
+
     def report(self, stream: FrameStream, echo_ms: int) -> TableReports | None:
         """Return what a peer must learn in answer to a heartbeat, None if nothing changed."""
         # Only readers of the store need the evidence, and it changes every second.
@@ -151,6 +167,17 @@
         for freshness in self._tables.values():
             freshness.forget_peer(peer)
 
+    def _compare_eras(self) -> None:
+        """Treat copies of peers from before a restore like the rows that are kept of them."""
+        if not self._view.store_era:
+            return
+        for table in self._store_tables:
+            freshness, former = self._tables[table], self._tables[former_name(table)]
+            freshness.update_content(self._view.content(table))
+            former.update_content(self._view.content(former_name(table)))
+            for peer, content in freshness.earlier_copies().items():
+                former.peer_reported(peer, TableReport(former_name(table), content, None), 0)
+
     def _update_states(self) -> None:
         self._contents = {table: self._view.content(table) for table in self._tables}
         self._states_for_readers = tuple(
--- a/godwitthread/gateway/store_view.py
+++ b/godwitthread/gateway/store_view.py
@@ -9,7 +9,7 @@
 from godwitthread.core.row_faults import RowFault, RowFaults
 from godwitthread.core.store_version import counter_of, era_of
 from godwitthread.core.table_freshness import TableContent
-from godwitthread.gateway.former_tables import FormerTables, is_former_name
+from godwitthread.gateway.former_tables import FormerTables, former_name, is_former_name
 from godwitthread.gateway.ports import StoredRow, StoredRows, Undecodable
 from godwitthread.gateway.store_rows import (
     MAX_REASON_LENGTH,
@@ -152,7 +152,14 @@
             for table, rows in self._tables.items()
             if self._changed.get(table, 0) > revisions.get(table, 0)
         )
-        return tables + self.former.newer_than(revisions)
+        # To a peer in a later era, this copy is from before a restore. Older builds do not ask so.
+        earlier = tuple(
+            Snapshot(former_name(table), known, tuple(self.former.over(table, rows).values()))
+            for table, rows in self._tables.items()
+            if era_of(known := self._revisions[table]) < era_of(revisions.get(table, 0))
+            and known > revisions.get(former_name(table), known)
+        )
+        return tables + earlier + self.former.newer_than(revisions)
 
     def revisions(self) -> dict[str, int]:
         """Return the version of the copy of every table, and of the rows from before a restore."""
--- a/godwitthread/standin/rows.py
+++ b/godwitthread/standin/rows.py
@@ -49,12 +49,18 @@
         self.delay_s = 0.0
         #: Probability that the answer to a write is delayed by 30 s after it took effect.
         self.lost_answer_share = 0.0
+        #: Whether waiting feed requests hear of no change.
+        self.deaf = False
+        #: Age of the content with which reads of whole tables are answered, in ms.
+        self.read_lag_ms = 0
         #: Names of the callers of `application_for` that get no answer.
         self.muted: set[str] = set()
         self.calls = 0
         self._rows: dict[tuple[str, str], tuple[str, int]] = {}
         self._history: list[Change] = []
         self._oldest = 0
+        #: Number of times that all waiting feed requests were ended.
+        self._cuts = 0
         self._random = random.Random(seed)
         self._clock = Clock()
 
@@ -72,27 +78,35 @@
     def truncate_history(self) -> None:
         """Discard the change history; feed requests from older revisions are answered with 410."""
         self._oldest = self.revision
-        self._history.clear()
+
+    def compact(self, read_lag_ms: int) -> None:
+        """Discard the history, end waiting feed requests, and answer reads with old content."""
+        self.truncate_history()
+        self._cuts += 1
+        self.read_lag_ms = read_lag_ms
 
     def restore(self, age_ms: int) -> list[Change]:
         """Come back from a copy of `age_ms` ago; return the lost changes, oldest first.
 
         Revisions go back and are given out again. Waiting feed requests are answered with 503.
         """
-        oldest_ms = self._clock.now_ms() - age_ms
-        lost: list[Change] = []
-        while self._history and self._history[-1].at_ms > oldest_ms:
-            change = self._history.pop()
-            lost.insert(0, change)
-            if change.former is None:
-                self._rows.pop((change.table, change.key), None)
-            else:
-                self._rows[change.table, change.key] = change.former
-        if lost:
-            self.revision = lost[0].revision - 1
+        self._rows, self.revision, lost = self._content(age_ms)
+        del self._history[len(self._history) - len(lost) :]
+        self._oldest = min(self._oldest, self.revision)
         self.era += 1
+        self._cuts += 1
         return lost
 
+    def _content(self, age_ms: int) -> tuple[dict[tuple[str, str], Any], int, list[Change]]:
+        """Return the rows and the revision of `age_ms` ago, and the changes since."""
+        rows, oldest_ms = dict(self._rows), self._clock.now_ms() - age_ms
+        later = [each for each in self._history if each.at_ms > oldest_ms] if age_ms else []
+        for change in reversed(later):
+            rows.pop((change.table, change.key), None)
+            if change.former is not None:
+                rows[change.table, change.key] = change.former
+        return rows, later[0].revision - 1 if later else self.revision, later
+
     def application(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
         """Serve the store as a WSGI application."""
         self.calls += 1
@@ -139,32 +153,35 @@
 
     def _get(self, query: dict[str, str]) -> dict[str, Any]:
         table, start = query['Table'], query.get('From', '')
+        content, newest, _ = self._content(self.read_lag_ms)
         rows = [
             _row(table, key, value, revision)
-            for (name, key), (value, revision) in sorted(self._rows.items())
+            for (name, key), (value, revision) in sorted(content.items())
             if name == table and key >= start
         ]
         page_size = int(query.get('PageSize', 500))
         return {
             'rows': rows[:page_size],
             'HasMore': len(rows) > page_size,
-            'Revision': self.revision,
+            'Revision': newest,
         }
 
     def _feed(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
         table, after = query['Table'], int(query['after'])
-        waited_s, era = 0.0, self.era
+        waited_s, cuts = 0.0, self._cuts
         while True:
             if after < self._oldest or after > self.revision:
                 return 410, {}
             changed = {
-                each.key for each in self._history if each.revision > after and each.table == table
+                each.key
+                for each in self._history
+                if each.revision > after and each.table == table and not self.deaf
             }
             if changed or waited_s * 1000 >= int(query.get('WaitTimeoutMs', 0)):
                 break
             eventlet.sleep(FEED_POLL_S)
             waited_s += FEED_POLL_S
-            if self.outage or self.era != era:
+            if self.outage or self._cuts != cuts:
                 return 503, {}
         rows = []
         for key in sorted(changed):
--- a/tests/test_gateway/test_former_tables.py
+++ b/tests/test_gateway/test_former_tables.py
@@ -147,3 +147,18 @@
     """Guard against requests of older builds that are answered at once, without end."""
     view = restored('op', configuration(9), configuration(7)).view
     assert view.newer_than({'op': view.revision('op')}) == ()
+
+
+def test_a_peer_that_does_not_know_of_the_restore_gives_its_copy():
+    """Guard against an instance that starts first after a restore and knows only the copy."""
+    before, after = {**configuration(9, 'new'), **EVACUATION}, configuration(7, 'withdrawn')
+    late = ViewClock(('op', content(1, BEFORE, before))).view
+    started = ViewClock(('op', content(2, RESTORED, after))).view
+    (copy,) = late.newer_than(started.revisions())
+    started.replace_from(copy, 'a')
+    assert in_force(started) == in_force(late)
+    assert late.newer_than(started.revisions()) == ()
+    # An instance that has followed the restore itself has the same rows, and asks for none.
+    followed = restored('op', before, after).view
+    assert followed.content('op@former') == late.content('op')
+    assert late.newer_than(followed.revisions()) == ()
