Take a table that was read after lost history for no evidence

Seen: while the store answers whole reads with content of some seconds ago, as it may after its history was lost, each reader called it up to 8 times a second for each table, and late instances reported evidence that they were current. Cause: a read after lost history counted like any other answer, although its content may be old, even at the version of the copy. So it confirmed the copy, and the next call for changes, which got 410 again, followed without a growing delay. Change: such a read confirms nothing, nor does an answer that is older than what is known of the store. After a second 410 in a row, or such an answer, the delay grows up to 0.8 s; one reader that gets current content tells the others.

--- a/godwitthread/gateway/store_probe.py
+++ b/godwitthread/gateway/store_probe.py
@@ -8,7 +8,13 @@
 
 from godwitthread.errors import ProxyError
 from godwitthread.gateway.ports import HistoryLostError
-from godwitthread.gateway.store_watcher import MAX_RETRY_MS, RETRY_MS, adopt
+from godwitthread.gateway.store_watcher import (
+    MAX_RELOAD_MS,
+    MAX_RETRY_MS,
+    RETRY_MS,
+    StoreAnswer,
+    adopt,
+)
 from godwitthread.loop import eventlet
 
 if TYPE_CHECKING:
@@ -44,7 +50,7 @@
                 eventlet.sleep(CHECK_INTERVAL_MS / 1000)
                 continue
             try:
-                self._ask(table)
+                evident = self._ask(table)
             except ProxyError as exc:
                 self._set_healthy(False, table, exc.message)
                 self._pause()
@@ -53,23 +59,29 @@
                 logger.exception('table %s not read', table)
                 self._pause()
             else:
-                self._retry_ms = RETRY_MS
                 self._set_healthy(True, table, '')
+                if evident:
+                    self._retry_ms = RETRY_MS
+                else:
+                    self._pause(MAX_RELOAD_MS)
 
-    def _ask(self, table: str) -> None:
+    def _ask(self, table: str) -> bool:
+        """Ask for changes of a table; return whether the answer was evidence."""
         context = self._context
-        view, begun_ms = context.view, context.clock.now_ms()
+        view, begun_ms, reload = context.view, context.clock.now_ms(), False
         try:
             content = self._store.changes(table, view.revision(table), 0)
             adopt(view.apply_changes, table, content)
         except HistoryLostError:
-            content = self._store.table(table)
+            content, reload = self._store.table(table), True
             adopt(view.replace, table, content)
-        context.on_answer(begun_ms, content.revision, True)
+        answer = StoreAnswer(begun_ms, content.revision, True, reload)
+        # A reload is no evidence, so that the next probe is due at once.
+        return context.on_answer(answer) and not reload
 
-    def _pause(self) -> None:
+    def _pause(self, maximum_ms: int = MAX_RETRY_MS) -> None:
         eventlet.sleep(random.uniform(self._retry_ms / 2, self._retry_ms) / 1000)
-        self._retry_ms = min(MAX_RETRY_MS, 2 * self._retry_ms)
+        self._retry_ms = min(maximum_ms, 2 * self._retry_ms)
 
     def _set_healthy(self, healthy: bool, table: str, reason: str) -> None:
         if healthy != self._healthy:
--- a/godwitthread/gateway/store_sync.py
+++ b/godwitthread/gateway/store_sync.py
@@ -23,6 +23,7 @@
     MIN_CALL_INTERVAL_MS,
     PEER_TABLE_INTERVAL_MS,
     ReaderContext,
+    StoreAnswer,
     StoreWatcher,
 )
 from godwitthread.loop import eventlet
@@ -192,14 +193,19 @@
     def _newer_peers(self) -> set[str]:
         return set().union(*(each.newer_peers() for each in self._tables.values()))
 
-    def _on_answer(self, begun_ms: int, revision: int, probe: bool) -> None:
+    def _on_answer(self, answer: StoreAnswer) -> bool:
+        if answer.revision < max(map(self._view.revision, self._store_tables)):
+            return False
+        if answer.reload:
+            return True
         # The store has one counter for all tables: a copy of this version or a later one lacked
         # nothing when the answer was created.
         for table in self._store_tables:
             freshness, content = self._tables[table], self._view.content(table)
-            if content.revision >= revision:
+            if content.revision >= answer.revision:
                 freshness.update_content(content)
-                freshness.store_answered(begun_ms, probe)
+                freshness.store_answered(answer.begun_ms, answer.probe)
+        return True
 
     def _overdue_table(self) -> str | None:
         if not self._context.reads_store():
--- a/godwitthread/gateway/store_watcher.py
+++ b/godwitthread/gateway/store_watcher.py
@@ -35,10 +35,25 @@
 #: content meanwhile. A connection attempt that fails is not a call and does not double it.
 RETRY_MS = 400
 MAX_RETRY_MS = 1_600
+#: Maximum delay after a call whose answer did not help, as the history is lost or the content is
+#: old, in ms. One reader that gets current content tells the others.
+MAX_RELOAD_MS = 800
 #: Interval of requests to peers while the store does not answer, in ms.
 PEER_POLL_MS = 400
 
 
+class StoreAnswer(NamedTuple):
+    """Successful call to the store, as far as it tells how current the copies are."""
+
+    begun_ms: int
+    revision: int
+    #: Whether it was made to renew the evidence that the copies are current.
+    probe: bool = False
+    #: Whether a table was read again because its history was lost. Such reads may return content
+    #: that is seconds old, also at the version of the copy.
+    reload: bool = False
+
+
 class ReaderContext(NamedTuple):
     """What the threads of an instance that call the store have in common."""
 
@@ -50,9 +65,8 @@
     poll_peer: Callable[[], None]
     #: Returns whether this instance reads the store itself.
     reads_store: Callable[[], bool]
-    #: Called with the start time of a call, the store version in its answer and whether the call
-    #: was a probe.
-    on_answer: Callable[[int, int, bool], None]
+    #: Processes an answer; returns whether it is as new as what is known of the store.
+    on_answer: Callable[[StoreAnswer], bool]
 
 
 class StoreWatcher:
@@ -77,6 +91,8 @@
         self._loaded = False
         self._interrupted = False
         self._retry_ms = RETRY_MS
+        #: Number of calls that got no changes since the last one that did.
+        self._losses = 0
 
     def run(self) -> None:
         """Watch the table until the thread is killed."""
@@ -87,29 +103,32 @@
             self._called_ms = self._clock.now_ms()
             self._interrupted = False
             try:
-                self._fetch()
+                current = self._fetch()
             except HistoryLostError:
                 self._loaded = False
-                self._log.event('history_lost', table=self.table)
+                self._losses += 1
+                self._log.event('history_lost', table=self.table, losses=self._losses)
+                if self._losses > 1:
+                    # The table was read again, which did not help.
+                    self._back_off(MAX_RELOAD_MS)
                 continue
             except ProxyError as exc:
                 if self._interrupted:
                     eventlet.sleep(random.uniform(0, JITTER_MS) / 1000)
                     continue
                 self._set_healthy(False, exc.message)
-                self._pause()
-                if not isinstance(exc, StoreUnreachableError):
-                    self._retry_ms = min(MAX_RETRY_MS, 2 * self._retry_ms)
+                if isinstance(exc, StoreUnreachableError):
+                    self._pause()
+                else:
+                    self._back_off(MAX_RETRY_MS)
                 continue
             except Exception:
                 # The thread must go on: without it, this instance would keep an old configuration.
                 logger.exception('table %s not read', self.table)
-                self._pause()
-                self._retry_ms = min(MAX_RETRY_MS, 2 * self._retry_ms)
+                self._back_off(MAX_RETRY_MS)
                 continue
             self._set_healthy(True, '')
-            self._retry_ms = RETRY_MS
-            eventlet.sleep(self._min_interval_ms / 1000)
+            self._rest(current)
 
     def interrupt(self) -> None:
         """Give up the call in progress, and start another one."""
@@ -119,6 +138,19 @@
         )
         self._store.interrupt()
 
+    def _rest(self, current: bool) -> None:
+        """Wait until the next call after one that was answered."""
+        if not current:
+            self._back_off(MAX_RELOAD_MS)
+            return
+        if not self._losses:
+            self._retry_ms = RETRY_MS
+        eventlet.sleep(self._min_interval_ms / 1000)
+
+    def _back_off(self, maximum_ms: int) -> None:
+        self._pause()
+        self._retry_ms = min(maximum_ms, 2 * self._retry_ms)
+
     def _pause(self) -> None:
         """Wait for the delay or until another thread's call succeeds; poll peers meanwhile."""
         wait_ms = random.uniform(self._retry_ms / 2, self._retry_ms)
@@ -129,10 +161,11 @@
                 return
             wait_ms -= PEER_POLL_MS
 
-    def _fetch(self) -> None:
+    def _fetch(self) -> bool:
+        """Read the table or wait for changes; return whether the answer was current."""
         table, view, begun_ms = self.table, self._view, self._called_ms
         if not self._loaded or not view.revision(table):
-            content = self._store.table(table)
+            content, reload = self._store.table(table), bool(self._losses)
             self._loaded = True
             adopt(view.replace, table, content)
         else:
@@ -143,8 +176,9 @@
                 content = self._store.changes(table, view.revision(table), wait_ms)
             finally:
                 self.call = None
+            self._losses, reload = 0, False
             adopt(view.apply_changes, table, content)
-        self._context.on_answer(begun_ms, content.revision, False)
+        return self._context.on_answer(StoreAnswer(begun_ms, content.revision, reload=reload))
 
     def _set_healthy(self, healthy: bool, reason: str) -> None:
         if healthy != self.healthy:
--- a/godwitthread/standin/rows.py
+++ b/godwitthread/standin/rows.py
@@ -49,8 +49,6 @@
         self.delay_s = 0.0
         #: Probability that the answer to a write is delayed by 30 s after it took effect.
         self.lost_answer_share = 0.0
-        #: Whether waiting feed requests hear of no change.
-        self.deaf = False
         #: Age of the content with which reads of whole tables are answered, in ms.
         self.read_lag_ms = 0
         #: Names of the callers of `application_for` that get no answer.
@@ -173,9 +171,7 @@
             if after < self._oldest or after > self.revision:
                 return 410, {}
             changed = {
-                each.key
-                for each in self._history
-                if each.revision > after and each.table == table and not self.deaf
+                each.key for each in self._history if each.revision > after and each.table == table
             }
             if changed or waited_s * 1000 >= int(query.get('WaitTimeoutMs', 0)):
                 break
--- a/tests/test_gateway/test_store_watcher.py
+++ b/tests/test_gateway/test_store_watcher.py
@@ -8,7 +8,7 @@
 from godwitthread.clock import Clock
 from godwitthread.errors import ErrorKind, ProxyError
 from godwitthread.gateway import store_watcher
-from godwitthread.gateway.ports import StoredRows, StoreUnreachableError
+from godwitthread.gateway.ports import HistoryLostError, StoredRows, StoreUnreachableError
 from godwitthread.gateway.store_health import StoreHealth
 from godwitthread.gateway.store_view import StoreView
 from godwitthread.gateway.store_watcher import ReaderContext, StoreWatcher
@@ -21,11 +21,16 @@
     def __init__(self) -> None:
         self.error: Exception | None = None
         self.calls = 0
+        #: Whether calls for changes get 410, and whether the content that is read is current.
+        self.history_lost, self.current = False, True
 
     def table(self, table):
         return self._answer()
 
     def changes(self, table, revision, wait_ms):
+        if self.history_lost:
+            self.calls += 1
+            raise HistoryLostError
         if self.error is None:
             eventlet.sleep(wait_ms / 1000)
         return self._answer()
@@ -46,7 +51,7 @@
 
     def start(table, store):
         context = ReaderContext(
-            view, clock, log, health, lambda: None, lambda: True, lambda *_: None
+            view, clock, log, health, lambda: None, lambda: True, lambda *_: store.current
         )
         watcher = StoreWatcher(table, 10, store, context)
         threads.append(eventlet.spawn(watcher.run))
@@ -112,3 +117,17 @@
         if watcher._loaded:
             break
     assert watcher._loaded
+
+
+@pytest.mark.parametrize('current', [True, False])
+def test_lost_history_is_no_reason_to_call_without_a_pause(watch, current):
+    """Guard against priced calls in quick succession while reading again does not help."""
+    store = FakeStore()
+    store.history_lost, store.current = True, current
+    watch('op', store)
+    eventlet.sleep(2.2)
+    # Two calls at once, and for each delay of at least 200 ms, and of 400 ms later on.
+    assert 2 <= store.calls <= 2 + 2 * 7
+    store.history_lost, store.current, calls = False, True, store.calls
+    eventlet.sleep(2.2)
+    assert store.calls > calls
--- a/tests/test_system/test_restored_store.py
+++ b/tests/test_system/test_restored_store.py
@@ -5,7 +5,7 @@
 import pytest
 
 from godwitthread.loop import eventlet
-from tests.test_system.gateways import GatewayDeployment
+from tests.test_system.gateways import GatewayDeployment, version
 
 #: Time after its acceptance within which a change is in force at every instance, in ms: `ApplyMs`
 #: of the deployments.
@@ -107,3 +107,22 @@
         eventlet.sleep(0.1)
         assert all(len(node.view.peers) == 9 and node.ready() for node in deployment.nodes)
     assert not any(node.view.former.rows('instances') for node in deployment.nodes)
+
+
+def test_content_that_is_behind_is_no_evidence_of_a_current_copy(start):
+    """Guard against reads of old content that make a late instance appear current."""
+    deployment = start(9)
+    deployment.configure()
+    deployment.store.compact(read_lag_ms=6_000)
+    calls = deployment.store.calls
+    for _ in range(40):
+        eventlet.sleep(0.1)
+        for node in deployment.nodes:
+            age_ms = node.store_sync.evidence_age_ms('op')
+            evidence_ms = deployment.clock.now_ms() - age_ms
+            assert version(node) == 2 or evidence_ms <= deployment.changes[-1].accepted_ms
+    # Each of 36 threads calls twice for each delay of at least 200 ms, and of 400 ms later on.
+    assert deployment.store.calls - calls <= 36 * 2 * 11
+    deployment.store.read_lag_ms = 0
+    eventlet.sleep(2)
+    assert not deployment.outdated(0)
