Reserve tokens of the promotion duty above all that were used before a restore

Cause: tokens continued from the row of the duty, and the row goes back. Change: tokens start at 2^40 for each era of the store, so that they are above all of an earlier era, whoever has them. A row with tokens of an earlier era names no holder: heartbeats tell whether one is running, and it reserves tokens again itself. A write that took effect in another era than it was based on takes no duty.

--- a/godwitthread/gateway/promotion_duty.py
+++ b/godwitthread/gateway/promotion_duty.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from godwitthread.core.store_version import counter_of
+from godwitthread.core.store_version import counter_of, era_of
 from godwitthread.errors import ErrorKind, ProxyError
 from godwitthread.gateway.ports import ConditionFailedError
 
@@ -23,6 +23,8 @@
 #: Number of fencing tokens that a holder reserves with one write to the store. Each order uses
 #: a new token, so the next order fences off one without an answer, even during a store outage.
 TOKEN_BATCH = 1_000
+#: Number of tokens in an era of the store: a billion batches.
+ERA_TOKENS = 2**40
 #: Upper bound of the tokens in the row; a larger one is not from an instance.
 MAX_TOKEN = 2**53
 #: Time limit of the first order, in ms. The platform answers after about 30 ms, before the member
@@ -61,6 +63,16 @@
     final: bool = True
 
 
+class _SeenRow(NamedTuple):
+    """Row of the duty as it was read."""
+
+    #: Holder that the row names, None if there is none or the row does not tell.
+    holder: Holder | None
+    #: Version of the row, 0 without one, and of the store.
+    revision: int
+    version: int
+
+
 _holders = msgspec.json.Decoder(Holder)
 
 
@@ -92,9 +104,13 @@
         """Return the next token, 0 if this process does not hold the duty."""
         return self._next_token or 0
 
+    def is_of_era(self, era: int) -> bool:
+        """Return whether the tokens were reserved in an era of the store or a later one."""
+        return self.token >= era * ERA_TOKENS
+
     def holder(self) -> Holder | None:
         """Return the holder that the store names; raise ProxyError."""
-        return self._read()[0]
+        return self._read().holder
 
     def take(self) -> None:
         """Become the holder; raise ProxyError if the store fails or another instance is first."""
@@ -103,23 +119,27 @@
             # Orders of this instance, its successor and this instance again within the lease would
             # violate the contract of the platform.
             raise ProxyError(ErrorKind.MOVED, 'this instance lost the promotion duty a moment ago')
-        holder, revision = self._read()
-        # A malformed row hides the tokens in use. Each batch took a write of its own, and the
-        # store's version rises with each write, so that this is above all of them.
-        first = (
-            holder.first_token + TOKEN_BATCH
-            if holder
-            else max(1, counter_of(revision)) * TOKEN_BATCH
-        )
+        seen = self._read()
+        if seen.holder is not None:
+            first = seen.holder.first_token + TOKEN_BATCH
+        else:
+            first = hidden_token(seen.version, counter_of(seen.revision))
         mine = Holder(self._name, self._incarnation, first)
+        content = msgspec.json.encode(mine)
         try:
-            store = self._ports.store()
-            store.put(DUTY_TABLE, PROMOTION_ROW, msgspec.json.encode(mine), revision)
+            written = self._ports.store().put(DUTY_TABLE, PROMOTION_ROW, content, seen.revision)
         except ConditionFailedError as exc:
             raise ProxyError(ErrorKind.MOVED, 'another instance took the promotion duty') from exc
         except ProxyError as exc:
-            if exc.kind is not ErrorKind.STORE_UNKNOWN or self._read()[0] != mine:
+            if exc.kind is not ErrorKind.STORE_UNKNOWN:
                 raise
+            again = self._read()
+            if again.holder != mine:
+                raise
+            written = again.version
+        if era_of(written) != era_of(seen.version):
+            # A holder whose row was lost with the restore may use the same tokens.
+            raise ProxyError(ErrorKind.MOVED, 'the store was restored meanwhile')
         self._next_token, self._last_token = first, first + TOKEN_BATCH - 1
         self._log.event('duty_taken', token=first)
 
@@ -173,12 +193,16 @@
         self._next_token += 1
         return token
 
-    def _read(self) -> tuple[Holder | None, int]:
+    def _read(self) -> _SeenRow:
         content = self._ports.store().table(DUTY_TABLE)
         for row in content.rows:
             if row.key == PROMOTION_ROW and row.value is not None:
-                return self._decode(row.value, row.revision), row.revision
-        return None, 0
+                holder = self._decode(row.value, row.revision)
+                if holder and holder.first_token < lowest_token(content.revision):
+                    # A row from before a restore. The one that named the last holder may be lost.
+                    holder = None
+                return _SeenRow(holder, row.revision, content.revision)
+        return _SeenRow(None, 0, content.revision)
 
     def _decode(self, value: bytes, revision: int) -> Holder | None:
         """Return the holder, None if the row is malformed, so that the duty counts as vacant."""
@@ -200,6 +224,22 @@
         return holder
 
 
+def lowest_token(version: int) -> int:
+    """Return the first token of an era, above all tokens that were used before.
+
+    The rows that reserved them may be lost, and their holders out of reach.
+    """
+    return era_of(version) * ERA_TOKENS
+
+
+def hidden_token(version: int, writes: int) -> int:
+    """Return a token above all that were reserved in an era by a number of writes.
+
+    Each batch took a write of its own, and the store's counter rises with each write.
+    """
+    return lowest_token(version) + max(1, writes) * TOKEN_BATCH
+
+
 def order_through_holder(
     duty: PromotionDuty,
     own_name: str,
--- a/godwitthread/gateway/registration.py
+++ b/godwitthread/gateway/registration.py
@@ -79,7 +79,10 @@
 
     def _take_vacant_duty(self) -> None:
         """Take the promotion duty in advance, so that tokens are reserved before a store outage."""
-        if self._duty.held or not self._is_preferred_holder():
+        if self._duty.held:
+            self._renew_duty()
+            return
+        if not self._is_preferred_holder():
             return
         try:
             if not self._may_be_running(self._duty.holder()):
@@ -89,6 +92,17 @@
                 'store_unavailable', table=promotion_duty.DUTY_TABLE, reason=exc.message
             )
 
+    def _renew_duty(self) -> None:
+        """Reserve tokens again as the holder, since a restored store may not name it."""
+        if self._duty.is_of_era(self._view.store_era):
+            return
+        try:
+            self._duty.take()
+        except ProxyError as exc:
+            self._log.failure(
+                'store_unavailable', table=promotion_duty.DUTY_TABLE, reason=exc.message
+            )
+
 
 def mark_departed(peer: Peer, view: StoreView, ports: Ports, log: Log) -> None:
     """Mark the entry of an instance whose process ends."""
--- a/tests/test_gateway/test_promotion_duty.py
+++ b/tests/test_gateway/test_promotion_duty.py
@@ -8,6 +8,7 @@
 import pytest
 
 from godwitthread.clock import Clock
+from godwitthread.core.store_version import combine, counter_of, era_of
 from godwitthread.errors import ErrorKind, ProxyError
 from godwitthread.gateway.ports import (
     ConditionFailedError,
@@ -266,3 +267,55 @@
         now_s[0] += 0.1
     former.take()
     assert former.token > successor.token
+
+
+def restore(store: OneRowStore, row: StoredRow | None) -> None:
+    """Let a store come back from a copy with an earlier row."""
+    counter = counter_of(row.revision) if row else 1
+    store.revision = combine(era_of(store.revision) + 1, counter)
+    store.row = row and row._replace(revision=store.revision)
+
+
+@pytest.mark.parametrize('copied', ['row of another holder', 'malformed row', 'no row'])
+@pytest.mark.parametrize('restores', [1, 2])
+def test_no_token_is_given_out_again_after_a_restore(copied, restores):
+    """Guard against two holders with one token, the first of which the store does not name."""
+    store, used = OneRowStore(), []
+    former, _ = duty(store, 'a')
+    former.take()
+    row = {'row of another holder': store.row, 'malformed row': StoredRow('promotion', b'{', 6)}
+    last, orders = duty(store, 'b')
+    last.take()
+    for _ in range(TOKEN_BATCH + 1):
+        last.order('g', 'm')
+    used = [token for _, token in orders]
+    for number in range(restores):
+        restore(store, row.get(copied))
+        made, orders = duty(store, f'c{number}')
+        # Nobody asks a holder of an earlier time, which may not hold the duty any more.
+        assert made.holder() is None
+        made.take()
+        assert made.holder() is not None
+        made.order('g', 'm')
+        assert orders[0][1] > max(used)
+        used += [token for _, token in orders]
+
+
+@pytest.mark.parametrize('fail', [None, ErrorKind.STORE_UNKNOWN])
+@pytest.mark.parametrize('has_row', [False, True])
+def test_a_write_that_takes_effect_after_a_restore_takes_no_duty(fail, has_row):
+    """Guard against tokens that another holder may have reserved before the restore."""
+    store = OneRowStore()
+    if has_row:
+        duty(store, 'a')[0].take()
+    seen = store.table('duties')
+    restore(store, store.row)
+    made, _ = duty(store, 'b')
+    store.fail, current = fail, store.table
+    reads = [seen]
+    store.table = lambda table: reads.pop() if reads else current(table)
+    if has_row:
+        store.row = store.row._replace(revision=seen.rows[0].revision)
+    with pytest.raises(ProxyError):
+        made.take()
+    assert not made.held
--- a/tests/test_system/test_restored_store.py
+++ b/tests/test_system/test_restored_store.py
@@ -5,7 +5,7 @@
 import pytest
 
 from godwitthread.loop import eventlet
-from tests.test_system.gateways import GatewayDeployment, version
+from tests.test_system.gateways import GatewayDeployment, version, wait_until
 
 #: Time after its acceptance within which a change is in force at every instance, in ms: `ApplyMs`
 #: of the deployments.
@@ -126,3 +126,24 @@
     deployment.store.read_lag_ms = 0
     eventlet.sleep(2)
     assert not deployment.outdated(0)
+
+
+@pytest.mark.parametrize('runs', [True, False])
+def test_the_duty_has_one_holder_after_a_restore(start, runs):
+    """Guard against a holder that the store does not name, or names although it is not one."""
+    deployment = start(5)
+    wait_until(lambda: any(node.duty.held for node in deployment.nodes))
+    first = next(node for node in deployment.nodes if node.duty.held)
+    eventlet.sleep(1)
+    last = next(node for node in deployment.nodes if node is not first)
+    last.duty.take()
+    token = last.duty.token
+    first.duty.yield_to(token)
+    deployment.store.restore(500)
+    if not runs:
+        deployment.remove(last, announced=False)
+    eventlet.sleep(6)
+    (holder,) = [node for node in deployment.nodes if node.duty.held]
+    assert holder.duty.token > token
+    assert holder is last or not runs
+    assert holder.duty.holder().name == holder.peer.name
