--- a/godwitthread/gateway/usage_duty.py
+++ b/godwitthread/gateway/usage_duty.py
@@ -14,7 +14,13 @@
 from godwitthread.core.usage_windows import MAX_NUMBER
 from godwitthread.errors import ProxyError
 from godwitthread.gateway.ports import ConditionFailedError, UsageReport, UsageResult
-from godwitthread.gateway.promotion_duty import DUTY_TABLE, MAX_TOKEN, TOKEN_BATCH
+from godwitthread.gateway.promotion_duty import (
+    DUTY_TABLE,
+    MAX_TOKEN,
+    TOKEN_BATCH,
+    hidden_token,
+    lowest_token,
+)
 
 if TYPE_CHECKING:
     from godwitthread.clock import Clock
@@ -260,11 +266,9 @@
 
     def _take(self, seen: SeenRow) -> None:
         row = seen.row or UsageRow('', 0, 0)
-        token = row.token + TOKEN_BATCH
+        token = max(row.token + TOKEN_BATCH, lowest_token(seen.store_revision))
         if seen.row is None or self._refused:
-            # Each batch of tokens took a write of the row, and the store's version rises with each
-            # write, so that this is above all tokens of a malformed or removed row.
-            token = max(token, counter_of(seen.store_revision) * TOKEN_BATCH)
+            token = max(token, hidden_token(seen.store_revision, counter_of(seen.store_revision)))
         mine = row._replace(name=self._name, incarnation=self._incarnation, token=token)
         self._write(mine, seen.revision)
         self._seen = None
--- a/tests/test_usage/test_usage_reports.py
+++ b/tests/test_usage/test_usage_reports.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from godwitthread.core.store_version import combine
 from godwitthread.core.usage_windows import UsageTerms
 from godwitthread.gateway.usage_collector import TICK_MS
 from tests.test_usage.cluster import START_MS, TERMS, Cluster
@@ -310,3 +311,35 @@
         cluster.run(250)
     assert cluster.holder() not in (None, former)
     assert not cluster.ledger.violations
+
+
+def restore_row_of_former_holder(alive: bool) -> tuple[Cluster, int]:
+    """Restore the row of a former holder; return the cluster and the token of the last one."""
+    cluster = Cluster()
+    cluster.run(12_000)
+    copied = cluster.row
+    former = cluster.holder()
+    cluster.instances[former].leaving = True
+    cluster.run(6_000)
+    last = cluster.instances[cluster.holder()]
+    token = last.duty.token
+    cluster.instances[former].leaving = False
+    last.alive = alive
+    cluster.revision = combine(1, copied.revision)
+    cluster.row = copied._replace(revision=cluster.revision)
+    cluster.run(30_000)
+    return cluster, token
+
+
+@pytest.mark.parametrize('alive', [True, False])
+def test_no_token_is_used_by_two_holders_after_a_restore(alive):
+    """Guard against reports of two holders under one token."""
+    cluster, token = restore_row_of_former_holder(alive)
+    assert cluster.instances[cluster.holder()].duty.token > token
+
+
+@pytest.mark.parametrize('alive', [True, False])
+def test_no_window_is_reported_with_two_counts_after_a_restore(alive):
+    """Guard against a window whose fixed counts were lost with the row of the duty."""
+    cluster, _ = restore_row_of_former_holder(alive)
+    assert cluster.ledger.violations == []
