Write the entries again of instances that ended before they could after a restore

Seen: an instance whose entry was lost with a restore, and which had ended before it could write it again, counted as a candidate for every majority for good. Cause: its entry holds until the store has it again, and only an entry in the store can be removed.

--- a/godwitthread/events.py
+++ b/godwitthread/events.py
@@ -77,6 +77,7 @@
         _event_type(
             115, 'peer_answer_stray', 'answer of a peer to a call without waiter', logging.WARNING
         ),
+        _event_type(116, 'entry_restored', 'entry of an instance written again after a restore'),
         _event_type(113, 'instance_registered', 'instance registered in the store'),
         _event_type(114, 'settings_changed', 'settings file reloaded'),
         _event_type(108, 'roster_changed', 'roster changed'),
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -17,6 +17,7 @@
 from godwitthread.gateway.caller_guard import refusal_for_memory
 from godwitthread.gateway.crossings import Crossings
 from godwitthread.gateway.duty_router import DutyRouter
+from godwitthread.gateway.entry_restoration import EntryRestoration
 from godwitthread.gateway.frames import FrameStream, HeartbeatStatus, Hello
 from godwitthread.gateway.grant_router import GrantRouter
 from godwitthread.gateway.group_homes import GroupHomes, HomesRequest
@@ -171,6 +172,7 @@
         self._threads: list[Any] = []
         self._organisations: dict[str, Organisation] = {}
         self._eviction = PeerEviction(clock, ports, log, self.view.row_revision)
+        self._restoration = EntryRestoration(peer.name, self.view, ports, log, clock)
         self._hello = Hello(peer.name, peer.incarnation)
         self._report_stray = stray_answer_reporter(log, metrics)
 
@@ -411,10 +413,15 @@
                 lambda: self.authority.update_voters(manager.candidates),
                 lambda: self.authority.tick(manager.active_groups()),
                 manager.tick,
-                lambda: self._eviction.tick(lambda: manager.owner('evict') == self.peer.name),
+                lambda: self._eviction.tick(self._keeps_entries),
+                lambda: self._restoration.tick(self._keeps_entries),
             )
         )
 
+    def _keeps_entries(self) -> bool:
+        """Return whether this instance maintains the entries of others."""
+        return self.ownership_manager.owner('evict') == self.peer.name
+
     def _knows_peers(self) -> bool:
         """Return whether the store content is known that the choice of owners depends on."""
         # Without the list of instances, each instance would assume that it is the only one.
--- a/tests/test_system/test_restored_store.py
+++ b/tests/test_system/test_restored_store.py
@@ -147,3 +147,18 @@
     assert holder.duty.token > token
     assert holder is last or not runs
     assert holder.duty.holder().name == holder.peer.name
+
+
+def test_an_instance_whose_entry_was_lost_is_removed_after_it_has_ended(start):
+    """Guard against a majority that counts instances which have no entry and never return."""
+    deployment = start(5)
+    deployment.start(5)
+    wait_until(lambda: all(len(node.view.peers) == 6 for node in deployment.nodes))
+    started = deployment.nodes[5]
+    lost = deployment.store.restore(2_000)
+    assert started.peer.name in {change.key for change in lost}
+    deployment.remove(started, announced=False)
+    eventlet.sleep(2)
+    assert all(len(node.view.peers) == 6 for node in deployment.nodes)
+    eventlet.sleep(20)
+    assert all(len(node.view.peers) == 5 for node in deployment.nodes)
