Add a soak of a store that comes back from older copies

Real processes, beside changes of the configuration right before, at and after a restore, two restores in a row, withdrawn keys, crashed primaries, suspended and restarted instances and lost history. It checks the version in force at each instance, withdrawn keys, writes, reads, rates, and that tokens of promotions rise.

--- a/godwitthread/standin/rows.py
+++ b/godwitthread/standin/rows.py
@@ -56,6 +56,8 @@
         self.calls = 0
         self._rows: dict[tuple[str, str], tuple[str, int]] = {}
         self._history: list[Change] = []
+        #: Newest content of each row of the platform, None for a removed one.
+        self._intended: dict[tuple[str, str], str | None] = {}
         self._oldest = 0
         #: Number of times that all waiting feed requests were ended.
         self._cuts = 0
@@ -65,13 +67,22 @@
     def put(self, table: str, key: str, value: Any) -> None:
         """Write a row on behalf of the platform."""
         data = value if isinstance(value, bytes) else json.dumps(value).encode()
-        self.revision += 1
-        self._write(table, key, base64.b64encode(data).decode())
+        self._put(table, key, base64.b64encode(data).decode())
 
     def drop(self, table: str, key: str) -> None:
         """Remove a row on behalf of the platform."""
+        self._put(table, key, None)
+
+    def write_again(self) -> None:
+        """Write on behalf of the platform what was lost with restores."""
+        for (table, key), value in self._intended.items():
+            if self._rows.get((table, key), (None, 0))[0] != value:
+                self._put(table, key, value)
+
+    def _put(self, table: str, key: str, value: str | None) -> None:
         self.revision += 1
-        self._write(table, key, None)
+        self._intended[table, key] = value
+        self._write(table, key, value)
 
     def truncate_history(self) -> None:
         """Discard the change history; feed requests from older revisions are answered with 410."""
--- a/tests/test_platform/runs.py
+++ b/tests/test_platform/runs.py
@@ -22,6 +22,7 @@
 from tests.test_platform.malformed_rows import MalformedRows
 from tests.test_platform.planned_callers import Caller, Ledger, check_answers
 from tests.test_platform.planned_work import PlannedWork
+from tests.test_platform.restored_store import RestoredStore
 from tests.test_platform.silent_store import SilentStore
 from tests.test_platform.statement_ledger import StatementLedger
 from tests.test_platform.tracing_callers import TracingCaller
@@ -72,6 +73,11 @@
         action='store_true',
         help='malformed rows in the store, members that drain, and changes of the configuration',
     )
+    modes.add_argument(
+        '--restored-store',
+        action='store_true',
+        help='a store that comes back from older copies, beside other faults and changes',
+    )
     modes.add_argument('--planned', action='store_true', help='planned work only, no faults')
     modes.add_argument(
         '--foreign-answers',
@@ -90,6 +96,7 @@
         play_planned_work: args.planned,
         play_silent_store: args.silent_store,
         play_malformed_rows: args.malformed_rows,
+        play_restored_store: args.restored_store,
     }
     if args.foreign_answers:
         plays[partial(play_foreign_answers, kind=args.foreign_answers)] = True
@@ -154,6 +161,21 @@
     return f'{work.checks} checks of {deployment.version} versions; faults: {names}'
 
 
+def play_restored_store(deployment: Deployment, seed: int, sizes: Sizes) -> str:
+    """Restore the store while configurations, keys, primaries and instances change."""
+    _start_callers(deployment, sizes)
+    checks = SilentStore(deployment, seed)
+    drill = RestoredStore(deployment, seed)
+    names = checks.run(sizes.seconds, drill.faults())
+    _check_recovery(deployment)
+    drill.check()
+    _stop_callers(deployment)
+    return (
+        f'{checks.checks} checks of {deployment.version} versions, '
+        f'{deployment.store.era} restores; faults: {names}'
+    )
+
+
 def play_malformed_rows(deployment: Deployment, seed: int, sizes: Sizes) -> str:
     """Write malformed rows while members drain and configurations change."""
     _start_callers(deployment, sizes)
