Rank entries of members that hold after a restore above all restored ones

Seen by review, and by a test that failed before: the restored entry of a crashed primary, which nobody writes again, had a later version than the kept entry of its successor, so that an instance without positions would follow the crashed one. Change: a kept entry counts as written at the version of the restored table.

--- a/godwitthread/gateway/store_view.py
+++ b/godwitthread/gateway/store_view.py
@@ -286,7 +286,10 @@
             if isinstance(member, Undecodable):
                 faults[key] = RowFault(row.revision, member.reason)
             else:
-                members[key] = member._replace(revision=row.revision)
+                # A row that holds in place of a restored one is newer than all restored rows.
+                kept = key in self.former.rows(self._schema.member_table)
+                revision = self.revision(self._schema.member_table) if kept else row.revision
+                members[key] = member._replace(revision=revision)
         # A malformed entry names no member, so that it counts as missing.
         for key in members.keys() & self._missing.keys():
             del self._missing[key]
--- a/tests/test_gateway/test_former_tables.py
+++ b/tests/test_gateway/test_former_tables.py
@@ -162,3 +162,12 @@
     followed = restored('op', before, after).view
     assert followed.content('op@former') == late.content('op')
     assert late.newer_than(followed.revisions()) == ()
+
+
+def test_an_entry_that_holds_is_newer_than_all_restored_ones():
+    """Guard against a crashed primary that is followed again since its entry was restored."""
+    before = {**member('new', 5, DbRole='primary'), **member('old', 3, DbRole='primary')}
+    after = {**member('new', 4), **member('old', 3, DbRole='primary')}
+    members = restored('servers', before, after).view.members
+    assert members['new'].revision >= members['old'].revision
+    assert members['new'].primary
