Ask a peer without newer rows once after a restore

Seen by review: a build that knows no eras reports versions below those of all eras above 0, and has no rows from before a restore to give, so that it was asked for them every 250 ms during a rolling restart. A test of the decision failed before. Change: content that a peer reported before it was asked does not count as newer again once its answer was adopted. It concerns only these rows.

--- a/godwitthread/core/table_freshness.py
+++ b/godwitthread/core/table_freshness.py
@@ -85,6 +85,8 @@
         #: Peers that hold newer content.
         self._newer: set[str] = set()
         self._behind_since_ms: int | None = None
+        #: Content of peers that had nothing newer when they were asked.
+        self._asked: dict[str, TableContent] = {}
 
     @property
     def evidence_ms(self) -> int | None:
@@ -122,9 +124,16 @@
             evidence_ms = echo_ms - report.evidence_age_ms
             self._peer_evidence_ms = max(evidence_ms, self._peer_evidence_ms or evidence_ms)
 
+    def peer_answered(self, peer: str) -> None:
+        """Record that a peer was asked, and that all that it has newer was adopted."""
+        if peer in self._peers:
+            self._asked[peer] = self._peers[peer]
+            self._newer.discard(peer)
+
     def forget_peer(self, peer: str) -> None:
         """Discard the report of a peer that is unreachable."""
         self._peers.pop(peer, None)
+        self._asked.pop(peer, None)
         self._newer.discard(peer)
 
     def earlier_copies(self) -> dict[str, TableContent]:
@@ -161,6 +170,8 @@
 
     def _is_newer(self, peer: str) -> bool:
         content, own = self._peers[peer], self._content
+        if content == self._asked.get(peer):
+            return False
         return content.revision > own.revision and not content.has_rows_of(own)
 
     def _has_taken_over(self) -> bool:
--- a/godwitthread/gateway/peer_sync.py
+++ b/godwitthread/gateway/peer_sync.py
@@ -64,6 +64,7 @@
         links: Callable[[], tuple[list[Link], list[Link]]],
         reads_store: Callable[[], bool],
         newer_peers: Callable[[], set[str]],
+        on_answer: Callable[[str], None],
     ) -> None:
         self._view = view
         self._clock = clock
@@ -73,6 +74,8 @@
         self._reads_store = reads_store
         #: Returns the names of the peers that report a newer table.
         self._newer_peers = newer_peers
+        #: Called with the name of a peer whose newer tables were adopted.
+        self._on_answer = on_answer
         self._last_poll_ms = 0
 
     def run(self) -> None:
@@ -118,6 +121,8 @@
                 # The view has reported the failure. Neither this thread nor the other tables may
                 # stop: this instance would keep an old configuration.
                 adopted = False
+        if adopted:
+            self._on_answer(link.peer.name)
         return adopted
 
     def _choose_link(self) -> Link | None:
--- a/godwitthread/gateway/store_sync.py
+++ b/godwitthread/gateway/store_sync.py
@@ -81,7 +81,13 @@
         self._states_for_readers: TableStates = ()
         self._states_for_others: TableStates = ()
         self.peers = PeerSync(
-            view, clock, log, links, lambda: role.reads_store(name), self._newer_peers
+            view,
+            clock,
+            log,
+            links,
+            lambda: role.reads_store(name),
+            self._newer_peers,
+            self._on_peer_answer,
         )
         context = ReaderContext(
             view,
@@ -193,6 +199,11 @@
     def _newer_peers(self) -> set[str]:
         return set().union(*(each.newer_peers() for each in self._tables.values()))
 
+    def _on_peer_answer(self, peer: str) -> None:
+        # Builds without eras do not give their copies as rows from before a restore.
+        for name in self._view.former.names():
+            self._tables[name].peer_answered(peer)
+
     def _on_answer(self, answer: StoreAnswer) -> bool:
         if answer.revision < max(map(self._view.revision, self._store_tables)):
             return False
--- a/tests/test_gateway/test_table_freshness.py
+++ b/tests/test_gateway/test_table_freshness.py
@@ -67,6 +67,17 @@
     assert call.is_dead(FEED_GRACE_MS, restored, behind=False)
 
 
+def test_a_peer_that_has_nothing_newer_is_not_asked_again():
+    """Guard against requests without end to a build that does not know of eras."""
+    own = freshness(OLD)
+    own.peer_reported('b', report(NEW), 5_000)
+    own.peer_answered('b')
+    own.peer_reported('b', report(NEW), 6_000)
+    assert not own.newer_peers()
+    own.peer_reported('b', report(TableContent(NEW.revision + 1, 3)), 7_000)
+    assert own.newer_peers() == {'b'}
+
+
 def test_content_of_an_unreachable_peer_is_forgotten():
     """Guard against requests to a peer that is gone."""
     own = freshness(OLD)
