--- a/docs/conf.py
+++ b/docs/conf.py
@@ -28,6 +28,7 @@
     'operating/completion',
     'operating/failure-primary-lost',
     'operating/failure-store-down',
+    'operating/failure-store-restored',
     'operating/failure-domain-out',
     'operating/failure-domains',
     'operating/failure-key-leaked',
