Do not count evidence of builds without eras after a restore

Cause: an older build takes an answer of any era for a confirmation of the copy that it has from a newer build, and its evidence kept the newer ones from probing. Change: beyond era 0, evidence counts from peers that report rows from before a restore as well, if only that there are none; older builds report none.

--- a/godwitthread/gateway/store_sync.py
+++ b/godwitthread/gateway/store_sync.py
@@ -14,7 +14,7 @@
     TableState,
     TableStates,
 )
-from godwitthread.gateway.former_tables import former_name
+from godwitthread.gateway.former_tables import former_name, is_former_name
 from godwitthread.gateway.peer_sync import PeerSync
 from godwitthread.gateway.store_health import StoreHealth
 from godwitthread.gateway.store_probe import StoreProbe
@@ -164,7 +164,12 @@
 
     def on_reports(self, peer: str, reports: TableReports) -> None:
         """Process the reports of a peer."""
+        # Builds that know no eras take answers of any era for a confirmation of their copies, and
+        # report no rows from before a restore.
+        knows_eras = any(is_former_name(report.table) for report in reports.reports)
         for report in reports.reports:
+            if self._view.store_era and not knows_eras:
+                report = report._replace(evidence_age_ms=None)
             if freshness := self._tables.get(report.table):
                 freshness.update_content(self._view.content(report.table))
                 freshness.peer_reported(peer, report, reports.echo_ms)
@@ -190,7 +195,7 @@
         self._states_for_readers = tuple(
             TableState(table, self._contents[table].digest, freshness.own_evidence_ms)
             for table, freshness in self._tables.items()
-            if table in self._store_tables or self._contents[table].revision
+            if table in self._store_tables or self._view.store_era
         )
         self._states_for_others = tuple(
             state._replace(evidence_ms=None) for state in self._states_for_readers
--- a/tests/test_system/test_restored_store.py
+++ b/tests/test_system/test_restored_store.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from godwitthread.core.table_freshness import TableContent, TableReport, TableReports
 from godwitthread.loop import eventlet
 from tests.test_system.gateways import GatewayDeployment, version, wait_until
 
@@ -162,3 +163,18 @@
     assert all(len(node.view.peers) == 6 for node in deployment.nodes)
     eventlet.sleep(20)
     assert all(len(node.view.peers) == 5 for node in deployment.nodes)
+
+
+def test_evidence_of_a_build_without_eras_does_not_count(start):
+    """Guard against a copy from before a restore that peers of an older build keep confirming."""
+    deployment = start(3)
+    deployment.store.restore(0)
+    eventlet.sleep(3)
+    sync = deployment.nodes[0].store_sync
+    table = TableReport('op', deployment.nodes[0].view.content('op'), 0)
+    former = TableReport('op@former', TableContent(0, 0), None)
+    known_ms = sync.evidence_age_ms('op')
+    sync.on_reports('older', TableReports(deployment.clock.now_ms(), (table,)))
+    assert sync.evidence_age_ms('op') == known_ms
+    sync.on_reports('current', TableReports(deployment.clock.now_ms(), (table, former)))
+    assert sync.evidence_age_ms('op') == 0
