--- a/godwitthread/core/table_freshness.py
+++ b/godwitthread/core/table_freshness.py
@@ -124,10 +124,16 @@
             evidence_ms = echo_ms - report.evidence_age_ms
             self._peer_evidence_ms = max(evidence_ms, self._peer_evidence_ms or evidence_ms)
 
-    def peer_answered(self, peer: str) -> None:
-        """Record that a peer was asked, and that all that it has newer was adopted."""
-        if peer in self._peers:
-            self._asked[peer] = self._peers[peer]
+    def reported_content(self, peer: str) -> TableContent | None:
+        """Return the content that a peer reported last."""
+        return self._peers.get(peer)
+
+    def peer_answered(self, peer: str, content: TableContent | None) -> None:
+        """Record that what a peer had when it reported some content was adopted."""
+        if content is None:
+            return
+        self._asked[peer] = content
+        if self._peers.get(peer) == content:
             self._newer.discard(peer)
 
     def forget_peer(self, peer: str) -> None:
--- a/godwitthread/gateway/peer_sync.py
+++ b/godwitthread/gateway/peer_sync.py
@@ -64,7 +64,7 @@
         links: Callable[[], tuple[list[Link], list[Link]]],
         reads_store: Callable[[], bool],
         newer_peers: Callable[[], set[str]],
-        on_answer: Callable[[str], None],
+        on_ask: Callable[[str], Callable[[], None]],
     ) -> None:
         self._view = view
         self._clock = clock
@@ -74,8 +74,9 @@
         self._reads_store = reads_store
         #: Returns the names of the peers that report a newer table.
         self._newer_peers = newer_peers
-        #: Called with the name of a peer whose newer tables were adopted.
-        self._on_answer = on_answer
+        #: Called with the name of a peer before it is asked; the function that it returns is called
+        #: once the answer was adopted.
+        self._on_ask = on_ask
         self._last_poll_ms = 0
 
     def run(self) -> None:
@@ -107,6 +108,7 @@
         if link is None:
             return False
         request = ViewRequest(self._view.revisions(), wait_ms)
+        on_adopted = self._on_ask(link.peer.name)
         try:
             body = link.call('view', request, wait_ms + CALL_TIMEOUT_MS)
             tables = _answers.decode(body).tables
@@ -122,7 +124,7 @@
                 # stop: this instance would keep an old configuration.
                 adopted = False
         if adopted:
-            self._on_answer(link.peer.name)
+            on_adopted()
         return adopted
 
     def _choose_link(self) -> Link | None:
--- a/godwitthread/gateway/store_sync.py
+++ b/godwitthread/gateway/store_sync.py
@@ -87,7 +87,7 @@
             links,
             lambda: role.reads_store(name),
             self._newer_peers,
-            self._on_peer_answer,
+            self._on_ask,
         )
         context = ReaderContext(
             view,
@@ -204,10 +204,17 @@
     def _newer_peers(self) -> set[str]:
         return set().union(*(each.newer_peers() for each in self._tables.values()))
 
-    def _on_peer_answer(self, peer: str) -> None:
-        # Builds without eras do not give their copies as rows from before a restore.
-        for name in self._view.former.names():
-            self._tables[name].peer_answered(peer)
+    def _on_ask(self, peer: str) -> Callable[[], None]:
+        # Builds without eras do not give their copies as rows from before a restore, so that they
+        # must not be asked again. What a peer reports while it is asked may not be in its answer.
+        tables = [self._tables[name] for name in self._view.former.names()]
+        contents = [each.reported_content(peer) for each in tables]
+
+        def on_adopted() -> None:
+            for freshness, content in zip(tables, contents, strict=True):
+                freshness.peer_answered(peer, content)
+
+        return on_adopted
 
     def _on_answer(self, answer: StoreAnswer) -> bool:
         if answer.revision < max(map(self._view.revision, self._store_tables)):
--- a/tests/test_gateway/test_peer_sync.py
+++ b/tests/test_gateway/test_peer_sync.py
@@ -32,7 +32,9 @@
     log = quiet_log(clock)
     view = StoreView(ports(FakeGroup()).schema, clock, log, on_change)
     link = FakeLink(answer)
-    return PeerSync(view, clock, log, lambda: ([], [link]), lambda: False, set, lambda _: None)
+    return PeerSync(
+        view, clock, log, lambda: ([], [link]), lambda: False, set, lambda _: lambda: None
+    )
 
 
 @pytest.mark.parametrize('answer', [b'', b'\xc1', msgspec.msgpack.encode({'tables': 3})])
--- a/tests/test_gateway/test_table_freshness.py
+++ b/tests/test_gateway/test_table_freshness.py
@@ -71,10 +71,13 @@
     """Guard against requests without end to a build that does not know of eras."""
     own = freshness(OLD)
     own.peer_reported('b', report(NEW), 5_000)
-    own.peer_answered('b')
+    asked = own.reported_content('b')
+    own.peer_answered('b', asked)
     own.peer_reported('b', report(NEW), 6_000)
     assert not own.newer_peers()
+    # A report that arrives while the peer is asked may be newer than the answer.
     own.peer_reported('b', report(TableContent(NEW.revision + 1, 3)), 7_000)
+    own.peer_answered('b', asked)
     assert own.newer_peers() == {'b'}
 
 
