Report by which copy a route or a key was refused

Cause: event 407 names no version and no age of the evidence, a refused BEGIN logs nothing, and a configuration that is not adopted leaves no trace, so that the hypotheses of the incident can't be told apart. Change: events 407 and 411 carry version, era, revision, source and age of the evidence; a counter by reason and evidence; event 220 for a row that is not newer than the configuration in force.

--- a/godwitthread/events.py
+++ b/godwitthread/events.py
@@ -115,6 +115,12 @@
             logging.WARNING,
         ),
         _event_type(219, 'restored_table_complete', 'restored store has all rows of a table again'),
+        _event_type(
+            220,
+            'configuration_not_adopted',
+            'configuration of the store not newer than the one in force',
+            logging.WARNING,
+        ),
         _event_type(301, 'primary_suspected', 'primary suspected', logging.WARNING),
         _event_type(302, 'fence_started', 'group fencing started'),
         _event_type(303, 'member_promoted', 'member promoted'),
@@ -148,6 +154,9 @@
         _event_type(
             409, 'statement_refused', 'statement refused for lack of capacity', logging.DEBUG
         ),
+        _event_type(
+            411, 'operation_refused', 'operation of an open session refused', logging.WARNING
+        ),
         _event_type(410, 'limit_reached', 'limit on callers reached', logging.WARNING),
         _event_type(501, 'share_owner_changed', 'share owner changed'),
         _event_type(502, 'share_changed', 'share changed', logging.DEBUG),
--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -33,6 +33,7 @@
 from godwitthread.gateway.promotion_duty import OrderRequest, PromotionDuty
 from godwitthread.gateway.rate_limiter import GrantRequest, RateLimiter
 from godwitthread.gateway.reach_probe import ReachProbe, ReachRequest
+from godwitthread.gateway.refusal_reports import RefusalReports
 from godwitthread.gateway.registration import Registration, mark_departed
 from godwitthread.gateway.sessions import ANONYMOUS, Sessions
 from godwitthread.gateway.start_gate import StartGate
@@ -166,7 +167,13 @@
             self._retry_spacing_ms,
         )
         self.sessions = Sessions(
-            clock, lambda: self.view.configuration, self.router.run, log, metrics.observe, guard
+            clock,
+            lambda: self.view.configuration,
+            self.router.run,
+            log,
+            metrics.observe,
+            guard,
+            RefusalReports(self.store_sync.configuration_basis, log, metrics),
         )
         self.calls = self._call_handlers()
         self._threads: list[Any] = []
--- a/godwitthread/gateway/session.py
+++ b/godwitthread/gateway/session.py
@@ -374,7 +374,7 @@
         return result
 
     def _start_operation(self) -> Result | None:
-        route, organisation, refusal = self._sessions.resolve(self._database, self._key)
+        route, organisation, refusal = self._sessions.start_operation(self._database, self._key)
         if refusal is not None:
             return refusal
         self._route, self._organisation = route, organisation
--- a/godwitthread/gateway/sessions.py
+++ b/godwitthread/gateway/sessions.py
@@ -9,7 +9,7 @@
 from godwitthread.core.shutdown import Phase
 from godwitthread.core.statements import failure
 from godwitthread.errors import ErrorKind
-from godwitthread.gateway.session import CLOSING_MESSAGE, MAX_LOGGED, RECONNECT_DELAY_MS, Session
+from godwitthread.gateway.session import CLOSING_MESSAGE, RECONNECT_DELAY_MS, Session
 from godwitthread.loop import eventlet
 
 if TYPE_CHECKING:
@@ -20,6 +20,7 @@
     from godwitthread.core.statements import Result, RunRequest
     from godwitthread.gateway.caller_guard import CallerGuard
     from godwitthread.gateway.logs import Log
+    from godwitthread.gateway.refusal_reports import RefusalReports
 
     #: Runs a statement at the owner of a group. Takes the request and the instance that holds the
     #: open transaction, and returns the result and the instance that ran the statement.
@@ -48,6 +49,7 @@
         log: Log,
         observe: Callable[[str, str, int], None],
         guard: CallerGuard | None = None,
+        reports: RefusalReports | None = None,
     ) -> None:
         self.clock = clock
         self.log = log
@@ -57,6 +59,7 @@
         #: Phase that determines which sessions end and which statements may start.
         self.phase = Phase.SERVING
         self._guard = guard
+        self._reports = reports
         self.limits = guard.limits if guard else CallerLimits()
         self._configuration = configuration
         self._numbers = itertools.count(1)
@@ -72,14 +75,20 @@
         if refusal is None and self.phase >= Phase.DRAINING:
             refusal = failure(ErrorKind.SHUTTING_DOWN, CLOSING_MESSAGE, RECONNECT_DELAY_MS)
         if refusal is not None:
-            self.log.failure(
-                'session_refused', database=database[:MAX_LOGGED], reason=refusal.error
-            )
+            if self._reports:
+                self._reports.session_refused(database, refusal)
             return None, refusal
         session = Session(self, next(self._numbers), database, key)
         self._open[session.number] = session
         return session, None
 
+    def start_operation(self, database: str, key: str) -> tuple[Route | None, str, Result | None]:
+        """Return route and organisation of a new operation, or the reason for a refusal."""
+        route, organisation, refusal = self.resolve(database, key)
+        if refusal is not None and self._reports:
+            self._reports.operation_refused(database, refusal)
+        return route, organisation, refusal
+
     def resolve(self, database: str, key: str) -> tuple[Route | None, str, Result | None]:
         """Return the current route and organisation, or the reason for a refusal."""
         cfg = self._configuration()
--- a/godwitthread/gateway/store_sync.py
+++ b/godwitthread/gateway/store_sync.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, NamedTuple
 
+from godwitthread.core.store_version import counter_of, era_of
 from godwitthread.core.table_freshness import (
     FEED_GRACE_MS,
     TableContent,
@@ -16,6 +17,7 @@
 )
 from godwitthread.gateway.former_tables import former_name, is_former_name
 from godwitthread.gateway.peer_sync import PeerSync
+from godwitthread.gateway.refusal_reports import ConfigurationBasis
 from godwitthread.gateway.store_health import StoreHealth
 from godwitthread.gateway.store_probe import StoreProbe
 from godwitthread.gateway.store_rows import PEER_TABLE
@@ -138,6 +140,17 @@
         evidence_ms = self._tables[table].evidence_ms
         return None if evidence_ms is None else self._clock.now_ms() - evidence_ms
 
+    def configuration_basis(self) -> ConfigurationBasis:
+        """Return the copy of the configuration by which callers are admitted or refused."""
+        view, origin = self._view, self._view.configuration_origin
+        return ConfigurationBasis(
+            view.configuration.version if view.configuration else 0,
+            era_of(origin.revision),
+            counter_of(origin.revision),
+            origin.source,
+            self.evidence_age_ms(view.tables()[0]),
+        )
+
     def lacks_former_rows(self) -> bool:
         """Return whether a peer has rows that a restored store may lack, and this one has not."""
         now_ms = self._clock.now_ms()
--- a/godwitthread/gateway/store_view.py
+++ b/godwitthread/gateway/store_view.py
@@ -48,6 +48,15 @@
     tried_ms: int
 
 
+class ConfigurationOrigin(NamedTuple):
+    """Row that the configuration in force was decoded from."""
+
+    #: Version of the row.
+    revision: int
+    #: STORE, or the name of the peer whose copy had the row.
+    source: str
+
+
 class StoreView:
     """Copy of the store tables and their decoded rows."""
 
@@ -71,7 +80,10 @@
         self._missing: dict[str, int] = {}
         #: Rows from before a restore of the store.
         self.former = FormerTables(schema, clock, log)
-        self._configuration_era = 0
+        #: Row of the configuration in force.
+        self.configuration_origin = ConfigurationOrigin(0, '')
+        #: Version of the last row that was reported as not adopted.
+        self._not_adopted = 0
         #: Number of answers of the store that were older than the copy of their table.
         self.outdated_answers = 0
         self._faults = {table: RowFaults() for table in self.tables()}
@@ -264,8 +276,10 @@
             return {row.key: RowFault(row.revision, cfg.reason)}
         # A restored store may have another content under the version that is in force.
         era, known = era_of(row.revision), self.configuration
-        if known is None or (cfg.version, era) > (known.version, self._configuration_era):
-            self.configuration, self._configuration_era = cfg, era
+        known_era = era_of(self.configuration_origin.revision)
+        if known is None or (cfg.version, era) > (known.version, known_era):
+            self.configuration = cfg
+            self.configuration_origin = ConfigurationOrigin(row.revision, source)
             self._log.event(
                 'configuration_adopted',
                 version=cfg.version,
@@ -273,11 +287,32 @@
                 revision=counter_of(row.revision),
                 source=source,
             )
+        self._report_not_adopted()
         if cfg.left_out:
             reason = f'left out: {"; ".join(cfg.left_out)}'[:MAX_REASON_LENGTH]
             return {row.key: RowFault(row.revision, reason)}
         return {}
 
+    def _report_not_adopted(self) -> None:
+        """Report a configuration of the store that is not newer than the one in force."""
+        row = self._tables[self._schema.operator_table].get(self._schema.configuration_key)
+        origin, known = self.configuration_origin, self.configuration
+        # The same row comes again with each change of another row.
+        if row is None or known is None or row.revision in (origin.revision, self._not_adopted):
+            return
+        self._not_adopted = row.revision
+        cfg = decode_row(self._schema.configuration, row.value or b'')
+        if not isinstance(cfg, Undecodable):
+            self._log.event(
+                'configuration_not_adopted',
+                version=cfg.version,
+                era=era_of(row.revision),
+                revision=counter_of(row.revision),
+                version_in_force=known.version,
+                era_in_force=era_of(origin.revision),
+                revision_in_force=counter_of(origin.revision),
+            )
+
     def _decode_members(self, rows: dict[str, StoredRow]) -> dict[str, RowFault]:
         members: dict[str, Member] = {}
         faults: dict[str, RowFault] = {}
--- /dev/null
+++ b/tests/test_gateway/test_refusal_reports.py
@@ -0,0 +1,54 @@
+"""Reports of callers that are refused for their database or key."""
+
+from __future__ import annotations
+
+import pytest
+from prometheus_client import generate_latest
+
+from godwitthread.clock import Clock
+from godwitthread.core.statements import Verb
+from godwitthread.events import EventLog, HybridLogicalClock
+from godwitthread.gateway.logs import Log
+from godwitthread.gateway.metrics import Metrics
+from godwitthread.gateway.refusal_reports import ConfigurationBasis, RefusalReports
+from godwitthread.gateway.sessions import Sessions
+from tests.test_gateway.fakes import configuration
+from tests.test_gateway.restored_content import RESTORED, content, restored
+from tests.test_gateway.restored_content import configuration as configuration_row
+from tests.test_gateway.test_sessions import statement
+
+
+@pytest.mark.parametrize(
+    ('age_ms', 'evidence'), [(1_200, 'current'), (3_001, 'old'), (None, 'old')]
+)
+def test_a_refusal_names_the_copy_by_which_it_was_decided(age_ms, evidence):
+    """Guard against refusals that can't be told from those by an old configuration."""
+    clock, metrics = Clock(), Metrics()
+    events = EventLog({'instance': 'a'}, HybridLogicalClock(clock.wall_ms))
+    log = Log(events, clock)
+    basis = ConfigurationBasis(7, 1, 300, 'store', age_ms)
+    reports = RefusalReports(lambda: basis, log, metrics)
+    known = [configuration()]
+    sessions = Sessions(
+        clock, lambda: known[0], lambda *_: None, log, lambda *_: None, reports=reports
+    )
+    assert sessions.open('nowhere', 'k1')[1].error == 'route_unknown'
+    session, _ = sessions.open('orders-db', 'k1')
+    known[0] = configuration(keys={})
+    assert session.run(statement(Verb.BEGIN)).error == 'key_invalid'
+    reported = [(each['event'], each['reason']) for each in events.since()]
+    assert reported == [('session_refused', 'route_unknown'), ('operation_refused', 'key_invalid')]
+    assert all(each.items() >= basis._asdict().items() for each in events.since())
+    line = f'godwitthread_caller_refusals_total{{evidence="{evidence}",reason="key_invalid"}} 1.0'
+    assert line in generate_latest(metrics.registry).decode()
+
+
+def test_a_configuration_that_is_not_adopted_is_reported_once():
+    """Guard against a configuration in the store that no instance puts in force, unnoticed."""
+    made = restored('op', configuration_row(9), configuration_row(7))
+    # Another row changes; that of the configuration stays.
+    made.view.apply_changes('op', content(2, RESTORED + 1, {'evacuate/stord': b'{}'}))
+    found = [
+        each for each in made.view._log._events.since() if each['event'].endswith('not_adopted')
+    ]
+    assert [(each['version'], each['version_in_force']) for each in found] == [(7, 9)]
