Count no whole read of a table as evidence of a current copy

Cause: after lost history whole reads may be seconds old. An instance that reads a table again knows this, one that has just started does not, and counted its first read as evidence: its refusals claimed a current copy. Change: only answers to calls for changes are evidence; an instance that starts makes such a call at once, as its evidence is missing.

--- a/godwitthread/gateway/store_probe.py
+++ b/godwitthread/gateway/store_probe.py
@@ -68,16 +68,16 @@
     def _ask(self, table: str) -> bool:
         """Ask for changes of a table; return whether the answer was evidence."""
         context = self._context
-        view, begun_ms, reload = context.view, context.clock.now_ms(), False
+        view, begun_ms, whole = context.view, context.clock.now_ms(), False
         try:
             content = self._store.changes(table, view.revision(table), 0)
             adopt(view.apply_changes, table, content)
         except HistoryLostError:
-            content, reload = self._store.table(table), True
+            content, whole = self._store.table(table), True
             adopt(view.replace, table, content)
-        answer = StoreAnswer(begun_ms, content.revision, True, reload)
-        # A reload is no evidence, so that the next probe is due at once.
-        return context.on_answer(answer) and not reload
+        answer = StoreAnswer(begun_ms, content.revision, True, whole)
+        # A whole read is no evidence, so that the next probe is due at once.
+        return context.on_answer(answer) and not whole
 
     def _pause(self, maximum_ms: int = MAX_RETRY_MS) -> None:
         eventlet.sleep(random.uniform(self._retry_ms / 2, self._retry_ms) / 1000)
--- a/godwitthread/gateway/store_sync.py
+++ b/godwitthread/gateway/store_sync.py
@@ -232,7 +232,7 @@
     def _on_answer(self, answer: StoreAnswer) -> bool:
         if answer.revision < max(map(self._view.revision, self._store_tables)):
             return False
-        if answer.reload:
+        if answer.whole:
             return True
         # The store has one counter for all tables: a copy of this version or a later one lacked
         # nothing when the answer was created.
--- a/godwitthread/gateway/store_watcher.py
+++ b/godwitthread/gateway/store_watcher.py
@@ -49,9 +49,10 @@
     revision: int
     #: Whether it was made to renew the evidence that the copies are current.
     probe: bool = False
-    #: Whether a table was read again because its history was lost. Such reads may return content
-    #: that is seconds old, also at the version of the copy.
-    reload: bool = False
+    #: Whether a whole table was read. After lost history, such reads may return content that is
+    #: seconds old, also at the version of the copy, and an instance that has just started does not
+    #: know whether history was lost.
+    whole: bool = False
 
 
 class ReaderContext(NamedTuple):
@@ -165,7 +166,7 @@
         """Read the table or wait for changes; return whether the answer was current."""
         table, view, begun_ms = self.table, self._view, self._called_ms
         if not self._loaded or not view.revision(table):
-            content, reload = self._store.table(table), bool(self._losses)
+            content, whole = self._store.table(table), True
             self._loaded = True
             adopt(view.replace, table, content)
         else:
@@ -176,9 +177,9 @@
                 content = self._store.changes(table, view.revision(table), wait_ms)
             finally:
                 self.call = None
-            self._losses, reload = 0, False
+            self._losses, whole = 0, False
             adopt(view.apply_changes, table, content)
-        return self._context.on_answer(StoreAnswer(begun_ms, content.revision, reload=reload))
+        return self._context.on_answer(StoreAnswer(begun_ms, content.revision, whole=whole))
 
     def _set_healthy(self, healthy: bool, reason: str) -> None:
         if healthy != self.healthy:
