Refuse unknown databases and keys for good only with evidence

Cause: route_unknown (NODB) and key_invalid (NOAUTH) were decided by the copy of the configuration whatever its evidence.

Change: such a refusal needs evidence that the copy was complete 3,000 ms before the request. Without it, the instance asks the store, or a reader among its peers by the new call "evidence" (older builds answer that they have no handler; no existing message changes): one call for all callers that wait, at most one each 250 ms, and one each 3 s (store) or 1 s (peer) after a call without evidence. Callers wait for 300 ms at most, and are told to return (stale_configuration, BUSY, 1,000 ms) if no evidence comes; at once where it is known that none will. With evidence in time, no call is made.

A statement that waits while its session gets the final answer of a planned stop does not run afterwards.

--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -15,6 +15,7 @@
 from godwitthread.gateway import link_server, links, usage_collector
 from godwitthread.gateway.authority_manager import AuthorityManager, ClaimRequest
 from godwitthread.gateway.caller_guard import refusal_for_memory
+from godwitthread.gateway.configuration_evidence import EvidenceRequest
 from godwitthread.gateway.crossings import Crossings
 from godwitthread.gateway.duty_router import DutyRouter
 from godwitthread.gateway.entry_restoration import EntryRestoration
@@ -174,6 +175,7 @@
             metrics.observe,
             guard,
             RefusalReports(self.store_sync.configuration_basis, log, metrics),
+            self.store_sync.evidence.is_refusal_final,
         )
         self.calls = self._call_handlers()
         self._threads: list[Any] = []
@@ -279,6 +281,7 @@
         calls.add('order', OrderRequest, lambda _, req: self.duty_router.answer(req))
         calls.add('claim', ClaimRequest, self.authority.answer_peer)
         calls.add('view', ViewRequest, lambda _, req: self.store_sync.peers.answer(req))
+        calls.add('evidence', EvidenceRequest, lambda _, req: self.store_sync.evidence.answer(req))
         if self.usage:
             calls.add(usage_collector.RESOURCE, usage_collector.UsageMessage, self.usage.receive)
         return calls
--- a/godwitthread/gateway/peer_sync.py
+++ b/godwitthread/gateway/peer_sync.py
@@ -104,7 +104,7 @@
         return ViewAnswer(tables)
 
     def _ask(self, wait_ms: int) -> bool:
-        link = self._choose_link()
+        link = self.choose_link()
         if link is None:
             return False
         request = ViewRequest(self._view.revisions(), wait_ms)
@@ -115,19 +115,24 @@
         except (ProxyError, msgspec.DecodeError) as exc:
             self._log.failure('peer_lost', peer=link.peer.name, reason=str(exc))
             return False
+        adopted = self.adopt(tables, link.peer.name)
+        if adopted:
+            on_adopted()
+        return adopted
+
+    def adopt(self, tables: tuple[Snapshot, ...], peer: str) -> bool:
+        """Adopt newer tables of a peer; return whether all were applied."""
         adopted = True
         for snapshot in tables:
             try:
-                self._view.replace_from(snapshot, link.peer.name)
+                self._view.replace_from(snapshot, peer)
             except Exception:
                 # The view has reported the failure. Neither this thread nor the other tables may
                 # stop: this instance would keep an old configuration.
                 adopted = False
-        if adopted:
-            on_adopted()
         return adopted
 
-    def _choose_link(self) -> Link | None:
+    def choose_link(self) -> Link | None:
         """Return the link to a peer that reports a newer table, else to any peer."""
         near, everywhere = self._links()
         newer = self._newer_peers()
--- a/godwitthread/gateway/ports.py
+++ b/godwitthread/gateway/ports.py
@@ -167,6 +167,9 @@
     def interrupt(self) -> None:
         """Make a call that another green thread has in progress fail."""
 
+    def close(self) -> None:
+        """Close the connection; the next call opens another one."""
+
     def put(self, table: str, key: str, value: bytes, expected_revision: int | None = None) -> int:
         """Write a row and return its version; raise ConditionFailedError."""
 
--- a/godwitthread/gateway/session.py
+++ b/godwitthread/gateway/session.py
@@ -375,6 +375,9 @@
 
     def _start_operation(self) -> Result | None:
         route, organisation, refusal = self._sessions.start_operation(self._database, self._key)
+        if self.closed:
+            # The final answer was sent while this statement waited; it must not run any more.
+            return self.refuse()
         if refusal is not None:
             return refusal
         self._route, self._organisation = route, organisation
--- a/godwitthread/gateway/sessions.py
+++ b/godwitthread/gateway/sessions.py
@@ -34,6 +34,12 @@
 #: Time that a new session waits for the configuration of an instance that has just started, in ms.
 #: It arrives a few calls to the store after the start; a refused caller would come back later.
 CONFIGURATION_WAIT_MS = 500
+#: Message to a caller that may have been added since, and the delay after which it may return, in
+#: ms: the evidence is renewed each second.
+STALE_MESSAGE = 'not known here, and the configuration may be out of date'
+EVIDENCE_RETRY_MS = 1_000
+#: Errors after which a caller does not return.
+FINAL_ERRORS = (ErrorKind.ROUTE_UNKNOWN.value, ErrorKind.KEY_INVALID.value)
 #: Interval of the check for the configuration, in ms.
 CONFIGURATION_CHECK_MS = 20
 
@@ -50,6 +56,7 @@
         observe: Callable[[str, str, int], None],
         guard: CallerGuard | None = None,
         reports: RefusalReports | None = None,
+        is_refusal_final: Callable[[], bool] = lambda: True,
     ) -> None:
         self.clock = clock
         self.log = log
@@ -60,6 +67,9 @@
         self.phase = Phase.SERVING
         self._guard = guard
         self._reports = reports
+        #: Returns whether the configuration is known to have what a caller that arrives now must
+        #: find in force; may wait for the answer to a call, and renew the configuration meanwhile.
+        self._is_refusal_final = is_refusal_final
         self.limits = guard.limits if guard else CallerLimits()
         self._configuration = configuration
         self._numbers = itertools.count(1)
@@ -71,7 +81,7 @@
     def open(self, database: str, key: str) -> tuple[Session | None, Result | None]:
         """Return a new session, or the reason for its refusal."""
         self._wait_for_configuration()
-        _, _, refusal = self.resolve(database, key)
+        _, _, refusal = self._resolve_by_evidence(database, key)
         if refusal is None and self.phase >= Phase.DRAINING:
             refusal = failure(ErrorKind.SHUTTING_DOWN, CLOSING_MESSAGE, RECONNECT_DELAY_MS)
         if refusal is not None:
@@ -84,7 +94,7 @@
 
     def start_operation(self, database: str, key: str) -> tuple[Route | None, str, Result | None]:
         """Return route and organisation of a new operation, or the reason for a refusal."""
-        route, organisation, refusal = self.resolve(database, key)
+        route, organisation, refusal = self._resolve_by_evidence(database, key)
         if refusal is not None and self._reports:
             self._reports.operation_refused(database, refusal)
         return route, organisation, refusal
@@ -104,6 +114,23 @@
             return route, ANONYMOUS, None
         return None, '', failure(ErrorKind.KEY_INVALID, 'unknown key')
 
+    def _resolve_by_evidence(
+        self, database: str, key: str
+    ) -> tuple[Route | None, str, Result | None]:
+        """Resolve a caller; refuse it for good only by a configuration that is known to be current.
+
+        Otherwise routes and keys would be refused that were added while no answer of the store
+        arrived.
+        """
+        found = self.resolve(database, key)
+        if not _is_final(found[2]):
+            return found
+        known = self._is_refusal_final()
+        found = self.resolve(database, key)
+        if known or not _is_final(found[2]):
+            return found
+        return None, '', failure(ErrorKind.STALE_CONFIGURATION, STALE_MESSAGE, EVIDENCE_RETRY_MS)
+
     def _wait_for_configuration(self) -> None:
         end_ms = self.clock.now_ms() + CONFIGURATION_WAIT_MS
         while self._configuration() is None and self.clock.now_ms() < end_ms:
@@ -154,3 +181,7 @@
     def unanswered(self) -> int:
         """Return the number of sessions with an unanswered statement."""
         return sum(session.running for session in self._open.values())
+
+
+def _is_final(refusal: Result | None) -> bool:
+    return refusal is not None and refusal.error in FINAL_ERRORS
--- a/godwitthread/gateway/store_probe.py
+++ b/godwitthread/gateway/store_probe.py
@@ -50,7 +50,7 @@
                 eventlet.sleep(CHECK_INTERVAL_MS / 1000)
                 continue
             try:
-                evident = self._ask(table)
+                evident = confirm(self._store, self._context, table, probe=True)
             except ProxyError as exc:
                 self._set_healthy(False, table, exc.message)
                 self._pause()
@@ -65,20 +65,6 @@
                 else:
                     self._pause(MAX_RELOAD_MS)
 
-    def _ask(self, table: str) -> bool:
-        """Ask for changes of a table; return whether the answer was evidence."""
-        context = self._context
-        view, begun_ms, reload = context.view, context.clock.now_ms(), False
-        try:
-            content = self._store.changes(table, view.revision(table), 0)
-            adopt(view.apply_changes, table, content)
-        except HistoryLostError:
-            content, reload = self._store.table(table), True
-            adopt(view.replace, table, content)
-        answer = StoreAnswer(begun_ms, content.revision, True, reload)
-        # A reload is no evidence, so that the next probe is due at once.
-        return context.on_answer(answer) and not reload
-
     def _pause(self, maximum_ms: int = MAX_RETRY_MS) -> None:
         eventlet.sleep(random.uniform(self._retry_ms / 2, self._retry_ms) / 1000)
         self._retry_ms = min(maximum_ms, 2 * self._retry_ms)
@@ -90,3 +76,20 @@
             self._context.log.event(name, table=table, reason=reason, probe=True)
             if healthy:
                 self._context.health.notify_recovered()
+
+
+def confirm(store: Store, context: ReaderContext, table: str, probe: bool = False) -> bool:
+    """Ask for changes of a table; return whether the answer was evidence; raise ProxyError.
+
+    `probe` tells that this instance renews the evidence for all.
+    """
+    view, begun_ms, reload = context.view, context.clock.now_ms(), False
+    try:
+        content = store.changes(table, view.revision(table), 0)
+        adopt(view.apply_changes, table, content)
+    except HistoryLostError:
+        content, reload = store.table(table), True
+        adopt(view.replace, table, content)
+    answer = StoreAnswer(begun_ms, content.revision, probe, reload)
+    # A reload is no evidence, so that the next probe is due at once.
+    return context.on_answer(answer) and not reload
--- a/godwitthread/gateway/store_sync.py
+++ b/godwitthread/gateway/store_sync.py
@@ -15,6 +15,7 @@
     TableState,
     TableStates,
 )
+from godwitthread.gateway.configuration_evidence import ConfigurationEvidence
 from godwitthread.gateway.former_tables import former_name, is_former_name
 from godwitthread.gateway.peer_sync import PeerSync
 from godwitthread.gateway.refusal_reports import ConfigurationBasis
@@ -110,6 +111,11 @@
             for table in view.tables()
         ]
         self._probe = StoreProbe(store(), context, self._overdue_table)
+        operator_table = view.tables()[0]
+        #: Evidence that is asked for before a caller is refused.
+        self.evidence = ConfigurationEvidence(
+            operator_table, self._tables[operator_table], context, store, self.peers
+        )
         self._context = context
 
     def start(self) -> list[Any]:
--- a/godwitthread/platform/caller_connection.py
+++ b/godwitthread/platform/caller_connection.py
@@ -59,6 +59,7 @@
     ErrorKind.OVERLOADED: 'BUSY',
     ErrorKind.MOVED: 'BUSY',
     ErrorKind.SHUTTING_DOWN: 'BUSY',
+    ErrorKind.STALE_CONFIGURATION: 'BUSY',
     ErrorKind.DEADLINE_EXCEEDED: 'BUSY',
     ErrorKind.BACKEND_UNAVAILABLE: 'BUSY',
     ErrorKind.TRANSACTION_LOST: 'ABORTED',
--- a/tests/test_gateway/test_refusal_reports.py
+++ b/tests/test_gateway/test_refusal_reports.py
@@ -52,3 +52,28 @@
         each for each in made.view._log._events.since() if each['event'].endswith('not_adopted')
     ]
     assert [(each['version'], each['version_in_force']) for each in found] == [(7, 9)]
+
+
+def test_a_refusal_without_evidence_is_postponed_and_reported():
+    """Guard against callers that are refused for good by a copy that may lack them, unnoticed."""
+    clock, metrics = Clock(), Metrics()
+    events = EventLog({'instance': 'a'}, HybridLogicalClock(clock.wall_ms))
+    log = Log(events, clock)
+    reports = RefusalReports(lambda: ConfigurationBasis(7, 1, 300, 'b', 9_000), log, metrics)
+    known = [configuration()]
+    sessions = Sessions(
+        clock, lambda: known[0], lambda *_: None, log, lambda *_: None, None, reports, lambda: False
+    )
+    session, _ = sessions.open('orders-db', 'k1')
+    known[0] = configuration(2, keys=())
+    refusals = [
+        sessions.open('nowhere', 'k1')[1],
+        sessions.open('orders-db', 'k1')[1],
+        session.run(statement(Verb.BEGIN)),
+    ]
+    assert {(each.error, each.retry_after_ms) for each in refusals} == {
+        ('stale_configuration', 1_000)
+    }
+    assert [each['reason'] for each in events.since()] == ['stale_configuration'] * 3
+    line = 'godwitthread_caller_refusals_total{evidence="old",reason="stale_configuration"} 3.0'
+    assert line in generate_latest(metrics.registry).decode()
--- a/tests/test_platform/test_caller_connection.py
+++ b/tests/test_platform/test_caller_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import eventlet
+import pytest
 from eventlet.green import socket
 
 from godwitthread.clock import Clock
@@ -51,3 +52,24 @@
     assert near.recv(10_000).count(b'DONE') == lines
     assert len(turns) >= lines
     near.close()
+
+
+@pytest.mark.parametrize(
+    ('evident', 'answer'),
+    [(True, b'ERR NODB unknown database'), (False, b'ERR BUSY ')],
+)
+def test_a_caller_learns_whether_it_may_return(evident, answer):
+    """Guard against a refusal without evidence that reaches a caller as final, or as in doubt."""
+    clock, cfg = Clock(), configuration()
+    log = quiet_log(clock)
+    sessions = Sessions(
+        clock, lambda: cfg, lambda *_: None, log, lambda *_: None, is_refusal_final=lambda: evident
+    )
+    near, far = socket.socketpair()
+    eventlet.spawn(serve, far, sessions)
+    near.sendall(b'START nowhere k1\r\n')
+    received = near.recv(200)
+    assert received.startswith(answer)
+    assert received.endswith(b'; retry after 1000 ms\r\n') is not evident
+    assert near.recv(1) == b''
+    near.close()
--- a/tests/test_system/gateways.py
+++ b/tests/test_system/gateways.py
@@ -63,17 +63,19 @@
             self.start(number)
         wait_until(lambda: all(node.ready() for node in self.nodes))
 
-    def configure(self, *groups: str) -> None:
+    def configure(
+        self, *groups: str, databases: tuple[str, ...] = (), keys: tuple[str, ...] = ()
+    ) -> None:
         """Have the store accept the next version of the configuration."""
         while self.silent:
             eventlet.sleep(CHECK_S)
         version = len(self.changes) + 1
         content = {
             'Version': version,
-            'Routes': [],
+            'Routes': [_route(database) for database in databases],
             'Services': [{'Name': name, 'MaxConns': 16} for name in groups or (GROUP,)],
             'Limits': {'TxIdleMs': 3_000},
-            'Tenants': [],
+            'Tenants': [{'Name': 'north', 'RatePerS': 10, 'Burst': 10, 'ApiKeys': list(keys)}],
         }
         self.store.put('op', 'config', content)
         self.changes.append(Change(version, self.clock.now_ms()))
@@ -196,6 +198,17 @@
     raise AssertionError('the condition did not hold within 20 s')
 
 
+def _route(database: str) -> dict[str, Any]:
+    return {
+        'Host': database,
+        'Service': GROUP,
+        'Kind': 'primary',
+        'TimeoutMs': 1_000,
+        'LatencyGoalMs': 500,
+        'Priority': 0,
+    }
+
+
 def _accept(sock: Any, node: Node) -> None:
     while True:
         conn, _ = sock.accept()
