Put a lower configuration that is new since a restore in force

Cause: the configuration with the highest Version ruled for good. Operators who went on from a restored store got their versions acknowledged, and no instance put them in force until the numbers had passed the lost ones. A second restore could replace the configuration in force by a former one of the same Version. Change: a row that was written after the restore, with a content that was not in force before, replaces a higher version after 1,500 ms; instances exchange the known contents and the release in the rows from before a restore, without a new field. A former content of the same Version does not replace the one in force.

--- a/godwitthread/gateway/former_tables.py
+++ b/godwitthread/gateway/former_tables.py
@@ -8,6 +8,7 @@
 from godwitthread.core.former_rows import FormerRows
 from godwitthread.core.store_version import counter_of, era_of
 from godwitthread.core.table_freshness import TableContent
+from godwitthread.gateway.former_configuration import FormerConfiguration
 from godwitthread.gateway.ports import StoredRow, StoredRows, Undecodable
 from godwitthread.gateway.store_rows import (
     PEER_TABLE,
@@ -46,6 +47,7 @@
             schema.member_table: FormerRows(self._hold_member),
             PEER_TABLE: FormerRows(_hold_peer),
         }
+        self.configuration = FormerConfiguration(schema, clock)
         #: Digests of the copies that the rows are from.
         self._digests: dict[str, int] = {}
 
@@ -74,11 +76,24 @@
         """Return the tables for a peer that names them with older versions."""
         # Older builds name none of them, and do not know them.
         return tuple(
-            Snapshot(former_name(table), former.revision, tuple(former.rows.values()))
+            Snapshot(former_name(table), former.revision, self._rows_for_peers(table))
             for table, former in self._tables.items()
             if former.revision > revisions.get(former_name(table), former.revision)
         )
 
+    def rows_of_copy(self, table: str, rows: dict[str, StoredRow]) -> tuple[StoredRow, ...]:
+        """Return the rows of the copy for a peer to which it is one from before a restore."""
+        rows = self.over(table, rows)
+        if table != self._schema.operator_table:
+            return tuple(rows.values())
+        rows = self.configuration.with_row_in_force(rows)
+        return *rows.values(), *self.configuration.known_rows()
+
+    def read_copy(self, table: str, revision: int) -> None:
+        """Process the version of a copy of a whole table."""
+        if table == self._schema.operator_table:
+            self.configuration.read_copy(revision)
+
     def keep(
         self,
         table: str,
@@ -90,8 +105,11 @@
         """Keep the rows of a copy that the content of the restored store lacks."""
         former = self._tables[table]
         current = {row.key: row for row in restored.rows}
-        former.add(self._clock.now_ms(), revision, former.over(rows), current)
         self._digests[table] = digest_of(rows)
+        rows = former.over(rows)
+        if table == self._schema.operator_table:
+            rows = self.configuration.with_row_in_force(rows)
+        former.add(self._clock.now_ms(), revision, rows, current)
         self._log.event(
             'store_restored',
             table=table,
@@ -117,9 +135,14 @@
             return None
         rows = {row.key: row for row in snapshot.rows}
         former, now_ms = self._tables[table], self._clock.now_ms()
-        if not former.add(now_ms, snapshot.revision, rows, tables[table]):
+        if snapshot.revision <= former.revision:
             return None
+        if table == self._schema.operator_table:
+            self.configuration.take_peer_rows(rows, revisions[table])
+        former.add(now_ms, snapshot.revision, rows, tables[table])
         self._digests[table] = digest_of(rows)
+        if table == self._schema.operator_table and self.configuration.released_rows():
+            self._digests[table] = self.configuration.released_digest()
         return table
 
     def over(self, table: str, rows: dict[str, StoredRow]) -> dict[str, StoredRow]:
@@ -133,17 +156,32 @@
         if former is None or not former.rows:
             return False
         ended = former.end(self._clock.now_ms(), rows)
+        if table == self._schema.operator_table and self.configuration.release(former, rows):
+            self._digests[table] = self.configuration.released_digest()
+            ended += 1
         if not former.rows:
             self._log.event('restored_table_complete', table=table, after_ms=self.age_ms(table))
         return bool(ended)
 
+    def _rows_for_peers(self, table: str) -> tuple[StoredRow, ...]:
+        rows = tuple(self._tables[table].rows.values())
+        if table != self._schema.operator_table:
+            return rows
+        return *rows, *self.configuration.known_rows(), *self.configuration.released_rows()
+
     def _hold_operator_row(self, former: StoredRow, current: StoredRow | None) -> float:
         if former.key.startswith(self._schema.evacuation_prefix):
             return EVACUATION_HOLD_MS if current is None else 0
         if former.key != self._schema.configuration_key:
             return 0
-        # A withdrawn key must not work again, so that only a newer version ends this one.
-        return math.inf if self._version(former) > self._version(current) else 0
+        # A withdrawn key must not work again, so that a lower version ends this one only once it is
+        # released, and the same version only with a content that was not in force before.
+        version, known = self._version(current), self._version(former)
+        if version < known:
+            return math.inf
+        repeats = current is not None and self.configuration.was_in_force(current)
+        is_other = current is not None and current.value != former.value
+        return math.inf if version == known and is_other and repeats else 0
 
     def _version(self, row: StoredRow | None) -> int:
         """Return the version of a configuration, -1 if there is none."""
--- a/godwitthread/gateway/store_view.py
+++ b/godwitthread/gateway/store_view.py
@@ -118,6 +118,7 @@
                 self._adopt(table, source)
             return
         rows = {row.key: row for row in content.rows}
+        self.former.read_copy(table, content.revision)
         if known and era_of(content.revision) > era_of(known):
             self.former.keep(table, self._tables[table], known, content, source)
         self._tables[table] = rows
@@ -166,7 +167,7 @@
         )
         # To a peer in a later era, this copy is from before a restore. Older builds do not ask so.
         earlier = tuple(
-            Snapshot(former_name(table), known, tuple(self.former.over(table, rows).values()))
+            Snapshot(former_name(table), known, self.former.rows_of_copy(table, rows))
             for table, rows in self._tables.items()
             if era_of(known := self._revisions[table]) < era_of(revisions.get(table, 0))
             and known > revisions.get(former_name(table), known)
@@ -277,8 +278,14 @@
         # A restored store may have another content under the version that is in force.
         era, known = era_of(row.revision), self.configuration
         known_era = era_of(self.configuration_origin.revision)
-        if known is None or (cfg.version, era) > (known.version, known_era):
+        if (
+            known is None
+            or (cfg.version, era) > (known.version, known_era)
+            or (era > known_era and self.former.configuration.is_released(row))
+            or (cfg.version == known.version and self._replaces_repetition(row))
+        ):
             self.configuration = cfg
+            self.former.configuration.in_force(row)
             self.configuration_origin = ConfigurationOrigin(row.revision, source)
             self._log.event(
                 'configuration_adopted',
@@ -293,6 +300,11 @@
             return {row.key: RowFault(row.revision, reason)}
         return {}
 
+    def _replaces_repetition(self, row: StoredRow) -> bool:
+        """Return whether a row holds in place of an older one of the same version."""
+        kept = self.former.rows(self._schema.operator_table).get(row.key)
+        return kept is row and row.revision != self.configuration_origin.revision
+
     def _report_not_adopted(self) -> None:
         """Report a configuration of the store that is not newer than the one in force."""
         row = self._tables[self._schema.operator_table].get(self._schema.configuration_key)
--- a/tests/test_system/gateways.py
+++ b/tests/test_system/gateways.py
@@ -68,6 +68,11 @@
         while self.silent:
             eventlet.sleep(CHECK_S)
         version = len(self.changes) + 1
+        self.write_configuration(version, *groups)
+        self.changes.append(Change(version, self.clock.now_ms()))
+
+    def write_configuration(self, version: int, *groups: str) -> None:
+        """Have the store accept a configuration of any version."""
         content = {
             'Version': version,
             'Routes': [],
@@ -76,7 +81,6 @@
             'Tenants': [],
         }
         self.store.put('op', 'config', content)
-        self.changes.append(Change(version, self.clock.now_ms()))
 
     def announce(self, member: str, state: str, domain: str = DOMAINS[0], count: int = 1) -> None:
         """Write the entry of a member to the store."""
--- a/tests/test_system/test_restored_store.py
+++ b/tests/test_system/test_restored_store.py
@@ -178,3 +178,52 @@
     assert sync.evidence_age_ms('op') == known_ms
     sync.on_reports('current', TableReports(deployment.clock.now_ms(), (table, former)))
     assert sync.evidence_age_ms('op') == 0
+
+
+@pytest.mark.parametrize('delay_s', [0, 1.5])
+def test_a_lower_version_that_is_new_since_a_restore_is_in_force(start, delay_s):
+    """Guard against a confirmed configuration that no instance puts in force for its number."""
+    deployment = start(9)
+    for _ in range(3):
+        deployment.configure()
+        eventlet.sleep(1)
+    # The store keeps version 2; versions 3 and 4 are lost.
+    deployment.store.restore(2_500)
+    eventlet.sleep(delay_s)
+    deployment.start(9)
+    deployment.write_configuration(3, 'orders', 'invoices')
+    eventlet.sleep(APPLY_MS / 1000)
+    assert [_in_force(node) for node in deployment.nodes] == [(3, 'invoices', 'orders')] * 10
+    # Whether its peers have dropped the version that was in force or still know it.
+    deployment.start(10)
+    eventlet.sleep(APPLY_MS / 1000)
+    assert [_in_force(node) for node in deployment.nodes] == [(3, 'invoices', 'orders')] * 11
+    deployment.write_configuration(4, 'orders')
+    eventlet.sleep(APPLY_MS / 1000)
+    assert [_in_force(node) for node in deployment.nodes] == [(4, 'orders')] * 11
+
+
+@pytest.mark.parametrize('pause_s', [0.2, 2.5])
+def test_second_writings_replace_no_later_version(start, pause_s):
+    """Guard against instances that go back while the operators write lost versions again."""
+    deployment = start(9)
+    for _ in range(4):
+        deployment.configure()
+        eventlet.sleep(1)
+    deployment.store.restore(3_500)
+    regressed = []
+    deployment.start(9)
+    for number in (3, 4, 5):
+        for _ in range(round(pause_s / 0.05)):
+            eventlet.sleep(0.05)
+            ready = [node for node in deployment.nodes if node.ready()]
+            regressed += deployment.outdated_among(ready, 0)
+        deployment.write_configuration(number)
+    assert not regressed
+    eventlet.sleep(APPLY_MS / 1000)
+    assert not deployment.outdated(0)
+    assert not any(node.view.former.rows('op') for node in deployment.nodes)
+
+
+def _in_force(node):
+    return node.view.configuration.version, *sorted(node.view.configuration.groups)
