Take only the release from a peer that has released a configuration

Cause: the rows from before a restore that tell of a release were added like others, so that an evacuation which had ended at this instance held again, for 60 s from then on. Change: of such rows of a known era, only the release is taken.

--- a/godwitthread/core/former_rows.py
+++ b/godwitthread/core/former_rows.py
@@ -52,10 +52,9 @@
             del self.rows[key]
         return len(ended)
 
-    def drop(self, key: str, revision: int) -> None:
-        """Drop a row that peers must drop as well, which learn of it by the version of the rows."""
+    def drop(self, key: str) -> None:
+        """Drop a row that must not hold any longer."""
         self.rows.pop(key, None)
-        self.revision = max(revision, self.revision)
 
     def _held_ms(self, key: str, current: Row | None) -> float:
         known = self._holds.get(key)
--- a/godwitthread/gateway/former_configuration.py
+++ b/godwitthread/gateway/former_configuration.py
@@ -91,6 +91,13 @@
         elif row is not None and self._decision.decided:
             del rows[row.key]
 
+    def is_news_of_release(self, revision: int, known: int) -> bool:
+        """Return whether former rows differ from known ones only in a released configuration.
+
+        The other rows of the peer may have ended here.
+        """
+        return revision & RELEASED > known & RELEASED and era_of(revision) == era_of(known)
+
     def release(self, former: FormerRows[StoredRow], rows: Mapping[str, StoredRow]) -> bool:
         """Drop the former configuration if that in the store replaces it; return whether it did."""
         key = self._schema.configuration_key
@@ -105,7 +112,8 @@
         if not self._decision.is_due(now_ms):
             return False
         self._decision.release()
-        former.drop(key, former.revision | RELEASED)
+        former.drop(key)
+        former.revision |= RELEASED
         return True
 
     def released_digest(self) -> int:
--- a/godwitthread/gateway/former_tables.py
+++ b/godwitthread/gateway/former_tables.py
@@ -139,7 +139,10 @@
             return None
         if table == self._schema.operator_table:
             self.configuration.take_peer_rows(rows, revisions[table])
-        former.add(now_ms, snapshot.revision, rows, tables[table])
+        if self.configuration.is_news_of_release(snapshot.revision, former.revision):
+            former.revision = snapshot.revision
+        else:
+            former.add(now_ms, snapshot.revision, rows, tables[table])
         self._digests[table] = digest_of(rows)
         if table == self._schema.operator_table and self.configuration.released_rows():
             self._digests[table] = self.configuration.released_digest()
--- a/tests/test_gateway/test_former_configuration.py
+++ b/tests/test_gateway/test_former_configuration.py
@@ -106,6 +106,24 @@
     assert in_force(late) == (8, 'new')
 
 
+def test_the_release_of_a_peer_does_not_renew_other_rows():
+    """Guard against an evacuation that has ended and holds again."""
+    evacuation = {'evacuate/stord': b'{}'}
+    known, other = (
+        ViewClock(
+            ('op', content(1, 300, {**configuration(9, 'k9'), **evacuation})), ('op', RESTORED)
+        )
+        for _ in range(2)
+    )
+    other.view.apply_changes('op', content(2, 286, evacuation))
+    other.view.replace('op', written(2, 287, 8, 'new'))
+    known.view.apply_changes('op', written(2, 287, 8, 'new'))
+    assert in_force(known, RELEASE_DELAY_MS) == (8, 'new')
+    tell(known, other)
+    assert in_force(other) == (8, 'new')
+    assert (known.view.evacuated, other.view.evacuated) == ({'stord'}, set())
+
+
 def test_a_repetition_does_not_replace_the_same_version_of_a_later_time():
     """Guard against an instance that starts with an older content of the version in force."""
     again = written(3, 300, 9, 'k9')
