Add a soak whose callers ask all instances for routes and keys that come and go

No test asked the instances as callers do while routes and keys change: the soaks with restores and with a silent store read the version from the metrics, and allow 6,000 ms.

An operator adds a route and a key with each version and drops the oldest, callers ask all instances for newest, dropped and unknown ones, and a judge of its own compares the answers with the versions that were in force within 3,000 ms, and within the lifetime of a process. A restore that leaves no call unanswered and lost history without old reads don't count as an impairment of the store.

--- a/godwitthread/standin/rows.py
+++ b/godwitthread/standin/rows.py
@@ -73,6 +73,11 @@
         """Remove a row on behalf of the platform."""
         self._put(table, key, None)
 
+    def content(self, table: str, key: str) -> bytes | None:
+        """Return the content of a row as the store has it now, None if there is none."""
+        value, _ = self._rows.get((table, key), (None, 0))
+        return None if value is None else base64.b64decode(value)
+
     def write_again(self) -> None:
         """Write on behalf of the platform what was lost with restores."""
         for (table, key), value in self._intended.items():
--- a/tests/test_platform/runs.py
+++ b/tests/test_platform/runs.py
@@ -12,6 +12,10 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from godwitthread.loop import eventlet
+from tests.test_platform import route_callers
+from tests.test_platform.changed_routes import FAULTS as ROUTE_FAULTS
+from tests.test_platform.changed_routes import ChangedRoutes, Operator
+from tests.test_platform.configuration_judge import judge
 from tests.test_platform.faults import (
     FAULTS,
     TRACED_FAULTS,
@@ -60,7 +64,9 @@
     parser.add_argument('--seconds', type=int, default=15)
     parser.add_argument('--instances', type=int, default=5)
     parser.add_argument('--groups', type=int, default=2)
-    parser.add_argument('--callers', type=int, help='16 by default, 72 with --planned')
+    parser.add_argument(
+        '--callers', type=int, help='16 by default, 72 with --planned, 4 with --changed-routes'
+    )
     modes = parser.add_mutually_exclusive_group()
     modes.add_argument('--splits', action='store_true', help='split primaries, no other faults')
     modes.add_argument(
@@ -86,10 +92,31 @@
         choices=['plain', 'bytes', 'repeats', 'both'],
         help='trace statements and answers, with odd bytes, repeated answers of members or both',
     )
+    modes.add_argument(
+        '--changed-routes',
+        action='store_true',
+        help='routes and keys that come and go, and callers that ask all instances for them',
+    )
+    parser.add_argument(
+        '--faults',
+        nargs='*',
+        choices=sorted(ROUTE_FAULTS),
+        default=sorted(ROUTE_FAULTS),
+        help='faults beside --changed-routes, all by default',
+    )
+    parser.add_argument(
+        '--versions-again',
+        action='store_true',
+        help='with --changed-routes, go on from the configuration of a restored store',
+    )
+    parser.add_argument(
+        '--interval', type=float, default=2.0, help='longest time between changed routes, in s'
+    )
+    parser.add_argument('--keep-logs', action='store_true', help='keep the logs of every run')
     args = parser.parse_args()
     # Exit through `finally`, so that the started processes are killed as well.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
-    callers = args.callers or (72 if args.planned else 16)
+    callers = args.callers or (72 if args.planned else 4 if args.changed_routes else 16)
     sizes = Sizes(args.seconds, args.instances, args.groups, callers)
     plays = {
         play_splits: args.splits,
@@ -98,15 +125,24 @@
         play_malformed_rows: args.malformed_rows,
         play_restored_store: args.restored_store,
     }
+    if args.changed_routes:
+        operator = Operator(args.interval, args.versions_again)
+        plays[partial(play_changed_routes, operator=operator, faults=args.faults)] = True
     if args.foreign_answers:
         plays[partial(play_foreign_answers, kind=args.foreign_answers)] = True
     play = next((each for each, chosen in plays.items() if chosen), play_faults)
     slots = PLANNED_SLOTS if args.planned else 2
     seeds = range(args.seed, args.seed + args.seeds)
-    return max(run(seed, sizes, slots, play) for seed in seeds)
+    return max(run(seed, sizes, slots, play, args.keep_logs) for seed in seeds)
 
 
-def run(seed: int, sizes: Sizes, slots: int, play: Callable[[Deployment, int, Sizes], str]) -> int:
+def run(
+    seed: int,
+    sizes: Sizes,
+    slots: int,
+    play: Callable[[Deployment, int, Sizes], str],
+    keep_logs: bool = False,
+) -> int:
     """Run one seed and print its result; return 1 after a violation."""
     with tempfile.TemporaryDirectory(prefix='gateway-') as folder:
         deployment = Deployment(seed, sizes.instances, sizes.groups, folder, slots)
@@ -115,12 +151,13 @@
             deployment.check()
         finally:
             deployment.close()
-        if deployment.violations:
+        if deployment.violations or deployment.remarks or keep_logs:
             log_folder = Path(f'soak-{seed}')
             log_folder.mkdir(exist_ok=True)
             for log in Path(folder).glob('*.log'):
                 (log_folder / log.name).write_bytes(log.read_bytes())
             (log_folder / 'violations.txt').write_text('\n'.join(deployment.violations))
+            (log_folder / 'remarks.txt').write_text('\n'.join(deployment.remarks))
     result = 'FAILED' if deployment.violations else 'ok'
     print(  # noqa: T201
         f'seed {seed}: {result}, {deployment.served} of {deployment.requested} served; {summary}',
@@ -130,6 +167,8 @@
         print(f'  {violation[:MAX_PRINTED_LENGTH]}', flush=True)  # noqa: T201
     if len(deployment.violations) > MAX_PRINTED:
         print(f'  and {len(deployment.violations) - MAX_PRINTED} more')  # noqa: T201
+    for remark in deployment.remarks[:MAX_PRINTED]:
+        print(f'  remark: {remark[:MAX_PRINTED_LENGTH]}', flush=True)  # noqa: T201
     return 1 if deployment.violations else 0
 
 
@@ -176,6 +215,28 @@
     )
 
 
+def play_changed_routes(
+    deployment: Deployment, seed: int, sizes: Sizes, operator: Operator, faults: list[str]
+) -> str:
+    """Add and drop routes and keys while callers ask all instances for them."""
+    changes = ChangedRoutes(deployment, seed, operator)
+    _start_callers(deployment, sizes)
+    route_callers.start(deployment, changes, seed)
+    names = changes.run(sizes.seconds, faults)
+    _check_recovery(deployment)
+    _stop_callers(deployment)
+    changes.write_record()
+    verdict = judge(changes.record)
+    deployment.violations += verdict.violations
+    deployment.remarks += [f'in unsettled time: {each}' for each in verdict.unsettled]
+    outcomes = ', '.join(f'{name} {number}' for name, number in verdict.outcomes.most_common())
+    return (
+        f'{sum(verdict.settled.values())} of {sum(verdict.outcomes.values())} questions in settled '
+        f'time; {len(changes.record.contents)} configurations, {deployment.store.era} restores; '
+        f'{outcomes}; faults: {names}'
+    )
+
+
 def play_malformed_rows(deployment: Deployment, seed: int, sizes: Sizes) -> str:
     """Write malformed rows while members drain and configurations change."""
     _start_callers(deployment, sizes)
--- a/tests/test_platform/world.py
+++ b/tests/test_platform/world.py
@@ -89,6 +89,10 @@
         self.tx_idle_ms, self.connection_limit = 3_000, 16
         #: Number of routes that no caller uses.
         self.extra_routes = 0
+        #: Databases of further routes, to the first group.
+        self.further_databases: list[str] = []
+        #: What was seen but breaks no guarantee; the logs are kept as after a violation.
+        self.remarks: list[str] = []
         #: Names of the groups that are left out of the configuration.
         self.removed_groups: set[str] = set()
         self.configure()
@@ -140,9 +144,9 @@
             process.kill()
             process.wait()
 
-    def configure(self) -> None:
+    def configure(self, step: int = 1) -> None:
         """Write a new configuration version to the store."""
-        self.version += 1
+        self.version += step
         groups = {
             number: each
             for number, each in enumerate(self.groups)
@@ -156,10 +160,8 @@
         ]
         # Routes for slow statements, and routes that no caller uses.
         routes += [_route(f'l{number}', 'primary', each, 4_000) for number, each in groups.items()]
-        routes += [
-            _route(f'x{number}', 'primary', self.groups[0], 1_500)
-            for number in range(self.extra_routes)
-        ]
+        databases = [f'x{number}' for number in range(self.extra_routes)] + self.further_databases
+        routes += [_route(each, 'primary', self.groups[0], 1_500) for each in databases]
         self.store.put(
             'op',
             'config',
@@ -402,6 +404,10 @@
                 return
 
 
+class SessionRefusedError(ValueError):
+    """Answer to `START` with an error code, or a close without an answer."""
+
+
 class Session:
     """Connection of a caller to a gateway."""
 
@@ -419,9 +425,10 @@
         self._sock.settimeout(ANSWER_TIMEOUT_S)
         self._stream = LineStream(self._sock)
         self._sock.sendall(text_lines(f'START {database} {key}'))
-        if not (self._stream.read() or b'').startswith(b'READY'):
+        answer = (self._stream.read() or b'').decode('latin-1')
+        if not answer.startswith('READY'):
             self.close()
-            raise ValueError('session refused')
+            raise SessionRefusedError((answer.split() + ['', ''])[1])
 
     def execute(self, statement_id: str, text: str) -> tuple[list[str], str]:
         """Execute a statement; return its rows and the error code, empty on success."""
