Let a caller of the soak ask all instances in turn

In the incident, callers are refused at up to seven instances within 30 ms; separate callers of each instance can't show that.

--- a/tests/test_platform/route_callers.py
+++ b/tests/test_platform/route_callers.py
@@ -4,7 +4,7 @@
 
 import itertools
 from random import Random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from godwitthread.loop import eventlet
 from tests.test_platform.configuration_judge import Question
@@ -26,13 +26,25 @@
 DROPPED = 6
 
 
+class Target(NamedTuple):
+    """What a caller asks for."""
+
+    description: str
+    database: str
+    key: str
+
+
 def start(deployment: Deployment, changes: ChangedRoutes, seed: int) -> None:
     """Start the callers of all instances."""
-    for number in deployment.processes:
-        eventlet.spawn(_open_sessions, _Asker(deployment, changes, seed, number, 'sessions'))
+    numbers = list(deployment.processes)
+    for number in numbers:
+        eventlet.spawn(_open_sessions, [_Asker(deployment, changes, seed, number, 'sessions')])
         for session in range(SESSIONS):
             name = f'operations {session}'
             eventlet.spawn(_begin_operations, _Asker(deployment, changes, seed, number, name))
+    # The same question to all instances in turn, as callers who look for one that serves them.
+    all_askers = [_Asker(deployment, changes, seed, number, 'turns') for number in numbers]
+    eventlet.spawn(_open_sessions, all_askers)
 
 
 class _Asker:
@@ -47,16 +59,31 @@
         self._number = number
         self._ids = (f'{name[0]}{number}.{each}' for each in itertools.count())
         self._lifetime = 0
-        self._target = ('', '', '')
+        self._target = Target('', '', '')
 
     def pause(self, longest_s: float) -> None:
         """Wait; all callers together ask about as often whatever the number of instances."""
         scale = max(1.0, len(self.deployment.processes) / 6)
         eventlet.sleep(self.random.uniform(0.02, longest_s) * scale)
 
-    def open(self) -> Session | None:
-        """Ask for a session to a changing, dropped or unknown database; return it if served."""
-        self._target = _, database, key = self._choose()
+    def choose(self) -> Target:
+        """Return a changing, dropped or unknown database or key."""
+        changes, rnd = self._changes, self.random
+        targets = [
+            ('newest route and key', changes.routes[-1], changes.keys[-1]),
+            ('newest route', changes.routes[-1], KEY),
+            ('newest key', DATABASE, changes.keys[-1]),
+            ('added route and key', rnd.choice(changes.routes), rnd.choice(changes.keys)),
+            ('dropped route', rnd.choice(changes.dropped_routes[-DROPPED:]), KEY),
+            ('dropped key', DATABASE, rnd.choice(changes.dropped_keys[-DROPPED:])),
+            ('unknown route', 'route-0', KEY),
+            ('unknown key', DATABASE, 'key-0'),
+        ]
+        return Target(*rnd.choice(targets))
+
+    def open(self, target: Target) -> Session | None:
+        """Ask for a session; return it if served."""
+        self._target = _, database, key = target
         self._lifetime = self.deployment.processes[self._number].pid
         address = self.deployment.caller_address(self._number)
         opened: list[Session] = []
@@ -103,35 +130,21 @@
         self._changes.record.questions.append(question)
         return outcome
 
-    def _choose(self) -> tuple[str, str, str]:
-        """Return what is asked for: its description, database and key."""
-        changes, rnd = self._changes, self.random
-        return rnd.choice(
-            [
-                ('newest route and key', changes.routes[-1], changes.keys[-1]),
-                ('newest route', changes.routes[-1], KEY),
-                ('newest key', DATABASE, changes.keys[-1]),
-                ('added route and key', rnd.choice(changes.routes), rnd.choice(changes.keys)),
-                ('dropped route', rnd.choice(changes.dropped_routes[-DROPPED:]), KEY),
-                ('dropped key', DATABASE, rnd.choice(changes.dropped_keys[-DROPPED:])),
-                ('unknown route', 'route-0', KEY),
-                ('unknown key', DATABASE, 'key-0'),
-            ]
-        )
-
 
-def _open_sessions(asker: _Asker) -> None:
-    while not asker.deployment.stopping:
-        asker.pause(0.15)
-        session = asker.open()
-        if session is not None:
-            session.close()
+def _open_sessions(askers: list[_Asker]) -> None:
+    while not askers[0].deployment.stopping:
+        askers[0].pause(0.15)
+        target = askers[0].choose()
+        for asker in askers:
+            session = asker.open(target)
+            if session is not None:
+                session.close()
 
 
 def _begin_operations(asker: _Asker) -> None:
     while not asker.deployment.stopping:
         asker.pause(0.5)
-        session = asker.open()
+        session = asker.open(asker.choose())
         operations = refusals = 0
         while session is not None and not asker.deployment.stopping:
             asker.pause(0.3)
