--- a/tests/test_system/gateways.py
+++ b/tests/test_system/gateways.py
@@ -70,10 +70,16 @@
         while self.silent:
             eventlet.sleep(CHECK_S)
         version = len(self.changes) + 1
-        self.write_configuration(version, *groups)
+        self.write_configuration(version, *groups, databases=databases, keys=keys)
         self.changes.append(Change(version, self.clock.now_ms()))
 
-    def write_configuration(self, version: int, *groups: str) -> None:
+    def write_configuration(
+        self,
+        version: int,
+        *groups: str,
+        databases: tuple[str, ...] = (),
+        keys: tuple[str, ...] = (),
+    ) -> None:
         """Have the store accept a configuration of any version."""
         content = {
             'Version': version,
