Let an instance that starts wait until the store has confirmed its configuration

Cause: an instance was ready with its first read. After lost history that may be seconds old, and if all instances start then, no peer knows better. Change: a reader of the store is ready for the first time once it has evidence for the configuration, once a call fails, or after 8 s.

--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -235,13 +235,15 @@
             and self.view.configuration is not None
             and self.start_gate.reached
             and self.ownership_manager.has_majority()
-            and self._knows_former_rows()
+            and self._is_informed()
         )
 
-    def _knows_former_rows(self) -> bool:
-        """Return whether this instance may have the rows that a restored store lacks."""
-        # An instance that has been ready goes on with the rows that it had before the restore.
-        self._informed = self._informed or not self.store_sync.lacks_former_rows()
+    def _is_informed(self) -> bool:
+        """Return whether the copies are good enough to be ready for the first time."""
+        # An instance that has been ready goes on with the rows that it had before a restore, and
+        # without evidence that its copies are current.
+        sync = self.store_sync
+        self._informed = self._informed or not (sync.lacks_former_rows() or sync.lacks_evidence())
         return self._informed
 
     def heartbeat_status(self) -> HeartbeatStatus:
--- a/godwitthread/gateway/store_probe.py
+++ b/godwitthread/gateway/store_probe.py
@@ -39,7 +39,8 @@
         self._context = context
         #: Returns the table whose evidence this instance must renew, None if there is none.
         self._overdue_table = overdue_table
-        self._healthy = True
+        #: Whether the last call succeeded.
+        self.healthy = True
         self._retry_ms = RETRY_MS
 
     def run(self) -> None:
@@ -84,8 +85,8 @@
         self._retry_ms = min(maximum_ms, 2 * self._retry_ms)
 
     def _set_healthy(self, healthy: bool, table: str, reason: str) -> None:
-        if healthy != self._healthy:
-            self._healthy = healthy
+        if healthy != self.healthy:
+            self.healthy = healthy
             name = 'store_available' if healthy else 'store_unavailable'
             self._context.log.event(name, table=table, reason=reason, probe=True)
             if healthy:
--- a/godwitthread/gateway/store_sync.py
+++ b/godwitthread/gateway/store_sync.py
@@ -8,6 +8,7 @@
 from godwitthread.core.store_version import counter_of, era_of
 from godwitthread.core.table_freshness import (
     FEED_GRACE_MS,
+    MAX_PROBERS,
     TableContent,
     TableFreshness,
     TableReport,
@@ -44,6 +45,9 @@
 #: Time for which an instance that starts waits for rows that a restored store lacks, in ms. A peer
 #: that knows them reports so when its link is up, and answers a request for them at once.
 FORMER_ROWS_WAIT_MS = 2_000
+#: Time after which an instance that starts no longer waits for evidence that its copy of the
+#: configuration is current, in ms. After lost history, reads were up to 5.5 s old.
+EVIDENCE_WAIT_MS = 8_000
 
 
 class ReaderRole(NamedTuple):
@@ -69,6 +73,7 @@
         role: ReaderRole,
     ) -> None:
         self.health = StoreHealth()
+        self._begun_ms = clock.now_ms()
         self._view = view
         self._clock = clock
         self._log = log
@@ -160,6 +165,20 @@
             for freshness in map(self._tables.__getitem__, self._view.former.names())
         )
 
+    def lacks_evidence(self) -> bool:
+        """Return whether the store answers, but has not confirmed the configuration yet."""
+        watcher = self._watchers[0]
+        # Evidence reaches only those that read the store. While it is silent, none can be had, and
+        # an instance must be able to start.
+        return (
+            self._tables[watcher.table].evidence_ms is None
+            and self._context.reads_store()
+            and self._role.rank() < MAX_PROBERS
+            and watcher.healthy
+            and self._probe.healthy
+            and self._clock.now_ms() - self._begun_ms < EVIDENCE_WAIT_MS
+        )
+
     def report(self, stream: FrameStream, echo_ms: int) -> TableReports | None:
         """Return what a peer must learn in answer to a heartbeat, None if nothing changed."""
         # Only readers of the store need the evidence, and it changes every second.
--- a/tests/test_system/test_gateway_configuration.py
+++ b/tests/test_system/test_gateway_configuration.py
@@ -174,3 +174,28 @@
     deployment.announce('m0', 'draining')
     wait_until(lambda: all(node.view.members['m0'].draining for node in deployment.nodes))
     assert all(node.view.malformed_rows('servers') == 2 for node in deployment.nodes)
+
+
+def test_instances_that_start_on_old_content_are_not_ready(start):
+    """Guard against all instances that serve by reads which lag after lost history."""
+    deployment = start(9)
+    eventlet.sleep(5)
+    deployment.configure()
+    eventlet.sleep(0.1)
+    deployment.store.compact(read_lag_ms=6_000)
+    deployment.restart_all()
+    for _ in range(80):
+        eventlet.sleep(0.1)
+        ready = [node for node in deployment.nodes if node.ready()]
+        assert not deployment.outdated_among(ready, 0)
+    assert len(ready) == 9
+
+
+def test_instances_do_not_wait_for_evidence_that_none_can_have(start):
+    """Guard against instances that are not ready because the store fell silent as they started."""
+    deployment = start(9)
+    deployment.restart_all()
+    wait_until(lambda: all(node.view.configuration for node in deployment.nodes))
+    deployment.store.outage = 'silent'
+    eventlet.sleep(3)
+    assert all(node.ready() for node in deployment.nodes)
