Send unknown callers elsewhere while an instance closes its sessions

Cause: an instance without a majority, or one that stops, told callers that it does not know to return after 1,000 ms, though it tells all others to reconnect after 30 ms and another instance may know them. Change: without evidence, such an instance answers shutting_down. Measured: the new test failed before with stale_configuration, 1000 ms; tests/test_system/test_refusals.py and test_gateway_configuration.py pass.

--- a/godwitthread/gateway/sessions.py
+++ b/godwitthread/gateway/sessions.py
@@ -82,7 +82,9 @@
         """Return a new session, or the reason for its refusal."""
         self._wait_for_configuration()
         _, _, refusal = self._resolve_by_evidence(database, key)
-        if refusal is None and self.phase >= Phase.DRAINING:
+        # Another instance may serve the caller, or know it.
+        moves = refusal is None or refusal.error == ErrorKind.STALE_CONFIGURATION.value
+        if moves and self.phase >= Phase.DRAINING:
             refusal = failure(ErrorKind.SHUTTING_DOWN, CLOSING_MESSAGE, RECONNECT_DELAY_MS)
         if refusal is not None:
             if self._reports:
--- a/tests/test_gateway/test_refusal_reports.py
+++ b/tests/test_gateway/test_refusal_reports.py
@@ -6,11 +6,13 @@
 from prometheus_client import generate_latest
 
 from godwitthread.clock import Clock
+from godwitthread.core.shutdown import Phase
 from godwitthread.core.statements import Verb
 from godwitthread.events import EventLog, HybridLogicalClock
 from godwitthread.gateway.logs import Log
 from godwitthread.gateway.metrics import Metrics
 from godwitthread.gateway.refusal_reports import ConfigurationBasis, RefusalReports
+from godwitthread.gateway.session import RECONNECT_DELAY_MS
 from godwitthread.gateway.sessions import Sessions
 from tests.test_gateway.fakes import configuration
 from tests.test_gateway.restored_content import RESTORED, content, restored
@@ -77,3 +79,19 @@
     assert [each['reason'] for each in events.since()] == ['stale_configuration'] * 3
     line = 'godwitthread_caller_refusals_total{evidence="old",reason="stale_configuration"} 3.0'
     assert line in generate_latest(metrics.registry).decode()
+
+
+def test_an_instance_that_closes_its_sessions_sends_unknown_callers_elsewhere():
+    """Guard against callers that an instance without a majority delays, though others know them."""
+    clock = Clock()
+    sessions = Sessions(
+        clock,
+        configuration,
+        lambda *_: None,
+        Log(EventLog({'instance': 'a'}, HybridLogicalClock(clock.wall_ms)), clock),
+        lambda *_: None,
+        is_refusal_final=lambda: False,
+    )
+    sessions.enter(Phase.DRAINING)
+    refusal = sessions.open('nowhere', 'k1')[1]
+    assert (refusal.error, refusal.retry_after_ms) == ('shutting_down', RECONNECT_DELAY_MS)
