End an evacuation whose removal a restored store reports

Cause: an evacuation that a restored store lacked, and that was written again and ended between two reads, held for 60 s, as only its absence was seen. Change: a removal that the store reports since a restore drops the row from before it. A system test shows that evacuations end at once in the other cases.

--- a/godwitthread/gateway/former_tables.py
+++ b/godwitthread/gateway/former_tables.py
@@ -166,6 +166,12 @@
             self._log.event('restored_table_complete', table=table, after_ms=self.age_ms(table))
         return bool(ended)
 
+    def remove(self, table: str, key: str) -> None:
+        """Drop a row that was written and removed since the restore, as the store reports."""
+        # The last configuration stays in force.
+        if table in self._tables and key != self._schema.configuration_key:
+            self._tables[table].drop(key)
+
     def _rows_for_peers(self, table: str) -> tuple[StoredRow, ...]:
         rows = tuple(self._tables[table].rows.values())
         if table != self._schema.operator_table:
--- a/godwitthread/gateway/store_view.py
+++ b/godwitthread/gateway/store_view.py
@@ -141,6 +141,7 @@
         for row in content.rows:
             if row.value is None:
                 rows.pop(row.key, None)
+                self.former.remove(table, row.key)
             else:
                 rows[row.key] = row
         self._revisions[table] = content.revision
--- a/tests/test_gateway/test_former_tables.py
+++ b/tests/test_gateway/test_former_tables.py
@@ -104,6 +104,15 @@
     assert made.view.evacuated == set()
 
 
+def test_an_evacuation_that_is_written_again_and_ended_between_two_reads_ends():
+    """Guard against a failure domain that stays evacuated although the store reports its end."""
+    made = restored('op', {**configuration(9), **EVACUATION}, configuration(9))
+    (row,) = content(2, RESTORED + 2, EVACUATION).rows
+    changes = content(2, RESTORED + 2, {})._replace(rows=(row._replace(value=None),))
+    made.view.apply_changes('op', changes)
+    assert made.view.evacuated == set()
+
+
 def test_a_member_whose_entry_is_not_written_again_is_dropped():
     """Guard against requests to a member that ended while the store was away."""
     made = restored('servers', member('m', 5), {})
--- a/tests/test_system/test_restored_store.py
+++ b/tests/test_system/test_restored_store.py
@@ -203,6 +203,25 @@
     assert [_in_force(node) for node in deployment.nodes] == [(4, 'orders')] * 11
 
 
+def test_evacuations_end_at_once_after_a_restore(start):
+    """Guard against an evacuation that holds since it was in force before, or is again."""
+    deployment = start(9)
+    deployment.store.put('op', 'evacuate/bergen-a', {})
+    eventlet.sleep(1)
+    deployment.store.put('op', 'evacuate/stord', {})
+    deployment.store.drop('op', 'evacuate/bergen-a')
+    eventlet.sleep(1)
+    # The first one is in force again, the second one is lost and written again.
+    deployment.store.restore(1_500)
+    deployment.store.put('op', 'evacuate/stord', {})
+    eventlet.sleep(2)
+    assert all(node.view.evacuated == {'bergen-a', 'stord'} for node in deployment.nodes)
+    deployment.store.drop('op', 'evacuate/bergen-a')
+    deployment.store.drop('op', 'evacuate/stord')
+    eventlet.sleep(0.5)
+    assert not any(node.view.evacuated for node in deployment.nodes)
+
+
 @pytest.mark.parametrize('pause_s', [0.2, 2.5])
 def test_second_writings_replace_no_later_version(start, pause_s):
     """Guard against instances that go back while the operators write lost versions again."""
