Ask on when an older build has dropped the news of a release

Change: rows that only pass on a release without that row are ignored. Result: test_an_instance_that_starts_follows_its_peers failed before.

--- a/godwitthread/gateway/former_configuration.py
+++ b/godwitthread/gateway/former_configuration.py
@@ -74,10 +74,11 @@
         released = self._decision.released
         return (StoredRow(self._schema.configuration_key, None, released),) if released else ()
 
-    def take_peer_rows(self, rows: dict[str, StoredRow], revision: int) -> None:
+    def take_peer_rows(self, rows: dict[str, StoredRow], revision: int) -> bool:
         """Process what a peer tells beside its rows, and leave only these.
 
-        The peer may still have a configuration that this instance has dropped.
+        The peer may still have a configuration that this instance has dropped. Return whether it
+        told of a release.
         """
         if known := rows.pop(self._known_key, None):
             contents = decode_row(_contents.decode, known.value or b'')
@@ -88,15 +89,10 @@
             del rows[row.key]
             if era_of(row.revision) == era_of(revision):
                 self._decision.peer_released(row.revision)
-        elif row is not None and self._decision.decided:
+            return True
+        if row is not None and self._decision.decided:
             del rows[row.key]
-
-    def is_news_of_release(self, revision: int, known: int) -> bool:
-        """Return whether former rows differ from known ones only in a released configuration.
-
-        The other rows of the peer may have ended here.
-        """
-        return revision & RELEASED > known & RELEASED and era_of(revision) == era_of(known)
+        return False
 
     def release(self, former: FormerRows[StoredRow], rows: Mapping[str, StoredRow]) -> bool:
         """Drop the former configuration if that in the store replaces it; return whether it did."""
@@ -123,3 +119,8 @@
 
 def _digest(row: StoredRow) -> int:
     return int(xxhash.xxh64_intdigest(row.value or b''))
+
+
+def is_news_of_release(revision: int, known: int) -> bool:
+    """Return whether former rows differ from known ones only in a released configuration."""
+    return revision & RELEASED > known & RELEASED and era_of(revision) == era_of(known)
--- a/godwitthread/gateway/former_tables.py
+++ b/godwitthread/gateway/former_tables.py
@@ -8,7 +8,7 @@
 from godwitthread.core.former_rows import FormerRows
 from godwitthread.core.store_version import counter_of, era_of
 from godwitthread.core.table_freshness import TableContent
-from godwitthread.gateway.former_configuration import FormerConfiguration
+from godwitthread.gateway.former_configuration import FormerConfiguration, is_news_of_release
 from godwitthread.gateway.ports import StoredRow, StoredRows, Undecodable
 from godwitthread.gateway.store_rows import (
     PEER_TABLE,
@@ -137,12 +137,17 @@
         former, now_ms = self._tables[table], self._clock.now_ms()
         if snapshot.revision <= former.revision:
             return None
+        released = False
         if table == self._schema.operator_table:
-            self.configuration.take_peer_rows(rows, revisions[table])
-        if self.configuration.is_news_of_release(snapshot.revision, former.revision):
+            released = self.configuration.take_peer_rows(rows, revisions[table])
+        if not is_news_of_release(snapshot.revision, former.revision):
+            former.add(now_ms, snapshot.revision, rows, tables[table])
+        elif released:
+            # The other rows of the peer may have ended here.
             former.revision = snapshot.revision
         else:
-            former.add(now_ms, snapshot.revision, rows, tables[table])
+            # A build that does not know releases has dropped the row that tells of it.
+            return None
         self._digests[table] = digest_of(rows)
         if table == self._schema.operator_table and self.configuration.released_rows():
             self._digests[table] = self.configuration.released_digest()
--- a/tests/test_gateway/test_former_configuration.py
+++ b/tests/test_gateway/test_former_configuration.py
@@ -91,7 +91,10 @@
     tell(known, started)
     assert in_force(started) == KEPT
     assert in_force(known, RELEASE_DELAY_MS) == (8, 'new')
-    assert known.view.content('op@former') != started.view.content('op@former')
+    # An older build has dropped the row that tells of the release.
+    (released,) = known.view.former.newer_than({'op@former': 0})
+    started.view.replace_from(released._replace(rows=()), 'older')
+    assert in_force(started) == KEPT
     tell(known, started)
     assert in_force(started) == (8, 'new')
     assert started.view.content('op@former') == known.view.content('op@former')
