--- a/tests/test_platform/changed_routes.py
+++ b/tests/test_platform/changed_routes.py
@@ -128,8 +128,12 @@
             dropped.append(names.pop(0))
         version = self._deployment.version
         again = [each for each in self._versions if each > version]
-        # A version that was given out before a restore is given out again.
-        step = min(again) - version if again else self._random.randint(1, MAX_STEP)
+        # Versions that a restore took back are given out again, and are passed slowly.
+        step = (
+            self._random.choice([1, min(again) - version])
+            if again
+            else self._random.randint(1, MAX_STEP)
+        )
         self._deployment.configure(step)
         self._versions.add(self._deployment.version)
         value = self._value()
