--- a/tests/test_platform/changed_routes.py
+++ b/tests/test_platform/changed_routes.py
@@ -22,7 +22,7 @@
 
 ORGANISATION = 'changing'
 #: Number of routes, and of keys, that were added and are not dropped yet.
-KEPT = 4
+KEPT = 8
 MAX_STEP = 6
 #: Pauses between faults, in s: they overlap, or the instances settle in between.
 SHORT_PAUSE_S = (0.2, 2.0)
