--- a/godwitthread/core/former_rows.py
+++ b/godwitthread/core/former_rows.py
@@ -52,6 +52,10 @@
             del self.rows[key]
         return len(ended)
 
+    def drop(self, key: str) -> None:
+        """Drop a row that must not hold any longer."""
+        self.rows.pop(key, None)
+
     def _held_ms(self, key: str, current: Row | None) -> float:
         known = self._holds.get(key)
         if known is not None and known[0] is current:
--- a/godwitthread/gateway/store_sync.py
+++ b/godwitthread/gateway/store_sync.py
@@ -15,6 +15,7 @@
     TableState,
     TableStates,
 )
+from godwitthread.gateway.configuration_evidence import ConfigurationEvidence
 from godwitthread.gateway.former_tables import former_name, is_former_name
 from godwitthread.gateway.peer_sync import PeerSync
 from godwitthread.gateway.refusal_reports import ConfigurationBasis
@@ -110,6 +111,11 @@
             for table in view.tables()
         ]
         self._probe = StoreProbe(store(), context, self._overdue_table)
+        operator_table = view.tables()[0]
+        #: Evidence that is asked for before a caller is refused.
+        self.evidence = ConfigurationEvidence(
+            operator_table, self._tables[operator_table], context, store, self.peers
+        )
         self._context = context
 
     def start(self) -> list[Any]:
@@ -232,7 +238,7 @@
     def _on_answer(self, answer: StoreAnswer) -> bool:
         if answer.revision < max(map(self._view.revision, self._store_tables)):
             return False
-        if answer.reload:
+        if answer.whole:
             return True
         # The store has one counter for all tables: a copy of this version or a later one lacked
         # nothing when the answer was created.
--- a/tests/test_system/gateways.py
+++ b/tests/test_system/gateways.py
@@ -63,20 +63,32 @@
             self.start(number)
         wait_until(lambda: all(node.ready() for node in self.nodes))
 
-    def configure(self, *groups: str) -> None:
+    def configure(
+        self, *groups: str, databases: tuple[str, ...] = (), keys: tuple[str, ...] = ()
+    ) -> None:
         """Have the store accept the next version of the configuration."""
         while self.silent:
             eventlet.sleep(CHECK_S)
         version = len(self.changes) + 1
+        self.write_configuration(version, *groups, databases=databases, keys=keys)
+        self.changes.append(Change(version, self.clock.now_ms()))
+
+    def write_configuration(
+        self,
+        version: int,
+        *groups: str,
+        databases: tuple[str, ...] = (),
+        keys: tuple[str, ...] = (),
+    ) -> None:
+        """Have the store accept a configuration of any version."""
         content = {
             'Version': version,
-            'Routes': [],
+            'Routes': [_route(database) for database in databases],
             'Services': [{'Name': name, 'MaxConns': 16} for name in groups or (GROUP,)],
             'Limits': {'TxIdleMs': 3_000},
-            'Tenants': [],
+            'Tenants': [{'Name': 'north', 'RatePerS': 10, 'Burst': 10, 'ApiKeys': list(keys)}],
         }
         self.store.put('op', 'config', content)
-        self.changes.append(Change(version, self.clock.now_ms()))
 
     def announce(self, member: str, state: str, domain: str = DOMAINS[0], count: int = 1) -> None:
         """Write the entry of a member to the store."""
@@ -113,7 +125,8 @@
     def outdated_among(self, nodes: list[Node], limit_ms: int) -> list[str]:
         """Return those of some instances that lack a version accepted more than `limit_ms` ago."""
         settled_ms = self.clock.now_ms() - limit_ms
-        required = max(each.version for each in self.changes if each.accepted_ms <= settled_ms)
+        settled = (each.version for each in self.changes if each.accepted_ms <= settled_ms)
+        required = max(settled, default=0)
         return [
             f'{node.peer.name} has {version(node)}, not {required}'
             for node in nodes
@@ -196,6 +209,17 @@
     raise AssertionError('the condition did not hold within 20 s')
 
 
+def _route(database: str) -> dict[str, Any]:
+    return {
+        'Host': database,
+        'Service': GROUP,
+        'Kind': 'primary',
+        'TimeoutMs': 1_000,
+        'LatencyGoalMs': 500,
+        'Priority': 0,
+    }
+
+
 def _accept(sock: Any, node: Node) -> None:
     while True:
         conn, _ = sock.accept()
