Remember a lower version that was replaced while it waited

Cause: after a restore, a confirmed version below the one in force waits for 1,500 ms. If the next one took effect before that, the first was never in force and not remembered. After a second restore that loses it, its second writing counted as new, and once it had been alone for 1,500 ms all instances went back to it.

Change: a row that was examined is remembered once a row written later is in force.

Measured: the new test fails without the change.

--- a/godwitthread/gateway/former_configuration.py
+++ b/godwitthread/gateway/former_configuration.py
@@ -7,7 +7,11 @@
 import msgspec
 import xxhash
 
-from godwitthread.core.restored_configuration import KnownContent, RestoredConfiguration
+from godwitthread.core.restored_configuration import (
+    MAX_KNOWN,
+    KnownContent,
+    RestoredConfiguration,
+)
 from godwitthread.core.store_version import ERA_SPAN, era_of
 from godwitthread.gateway.ports import StoredRow, Undecodable
 from godwitthread.gateway.store_rows import decode_row, digest_of
@@ -41,6 +45,8 @@
         self._decision = RestoredConfiguration()
         #: Row of the configuration in force.
         self._row: StoredRow | None = None
+        #: Newest contents of the store since a restore that were lower than the one in force.
+        self._waiting: list[KnownContent] = []
 
     def read_copy(self, revision: int) -> None:
         """Process the version of a copy of the whole table."""
@@ -49,7 +55,10 @@
     def in_force(self, row: StoredRow) -> None:
         """Process the row of a configuration that is in force from now on."""
         self._row = row
-        self._decision.learn([KnownContent(row.revision, _digest(row))])
+        # Versions that it follows were confirmed as well, also those that waited in vain.
+        followed = [each for each in self._waiting if each.revision < row.revision]
+        self._waiting = [each for each in self._waiting if each.revision >= row.revision]
+        self._decision.learn([*followed, KnownContent(row.revision, _digest(row))])
 
     def with_row_in_force(self, rows: Mapping[str, StoredRow]) -> dict[str, StoredRow]:
         """Return rows with the configuration in force; the one in the store may be malformed."""
@@ -109,6 +118,9 @@
             cfg = decode_row(self._schema.configuration, row.value or b'')
             digest = None if isinstance(cfg, Undecodable) else _digest(row)
             self._decision.examine(now_ms, row.revision, digest)
+            if digest is not None:
+                content = KnownContent(row.revision, digest)
+                self._waiting = [*self._waiting[1 - MAX_KNOWN :], content]
         if not self._decision.is_due(now_ms):
             return False
         self._decision.release()
--- a/tests/test_gateway/test_former_configuration.py
+++ b/tests/test_gateway/test_former_configuration.py
@@ -151,6 +151,14 @@
     assert in_force(known, RELEASE_DELAY_MS) == KEPT
 
 
+def test_a_version_that_was_replaced_while_it_waited_does_not_come_back():
+    """Guard against all instances going back when it is written again after a second restore."""
+    made = view_of(RESTORED, NEW, written(2, 287, 10, 'k10'))
+    made.view.replace('op', written(3, 280, 7, 'k7'))
+    made.view.apply_changes('op', written(3, 288, 8, 'new'))
+    assert in_force(made, RELEASE_DELAY_MS) == (10, 'k10')
+
+
 @pytest.mark.parametrize('value', [b'', b'\x91\x91\x01', b'\xc1', None])
 def test_malformed_contents_of_a_peer_are_ignored(value):
     """Guard against a peer that keeps an instance from learning what holds."""
