Follow a release that was missed together with a further restore

Cause: an instance that was suspended or cut off over two restores, and over the release of a lower version between them, kept its old version for good. Its peers have forgotten the release in the later era, but tell it what was in force, and the released version is among that; so the row of the store counted as a second writing of an old one. Its copy of the table is the same as theirs, so that it refused routes and keys with current evidence.

Change: a content that was in force in a later era than the former row does not count as one from before it. It replaces the former row after the usual delay.

Measured: the new test fails without the change.

--- a/godwitthread/core/restored_configuration.py
+++ b/godwitthread/core/restored_configuration.py
@@ -68,18 +68,26 @@
             self._first_copy, self._since_ms = revision, None
             self.released, self.decided = 0, False
 
-    def was_in_force(self, revision: int, digest: int) -> bool:
-        """Return whether the content of a row was in force before its era."""
-        return any(each.digest == digest for each in self._before(revision))
+    def was_in_force(self, revision: int, digest: int, former: int) -> bool:
+        """Return whether the content of a row was in force before its era, given a former row.
+
+        A content that was in force in a later era than the former row has replaced that one, at
+        peers that know of a release which this instance has missed.
+        """
+        eras = [era_of(each.revision) for each in self._before(revision) if each.digest == digest]
+        return bool(eras) and max(eras) <= era_of(former)
 
     def needs_examination(self, revision: int) -> bool:
         """Return whether a row must be examined; a content is decoded and hashed only once."""
         return revision != self._examined
 
-    def examine(self, now_ms: int, revision: int, digest: int | None) -> None:
-        """Examine the row of the store, which has a lower version; None if it is undecodable."""
+    def examine(self, now_ms: int, revision: int, digest: int | None, former: int) -> None:
+        """Examine the row of the store, which has a lower version than the former one.
+
+        The digest is None if the row can't be decoded.
+        """
         self._examined = revision
-        repeats = digest is not None and self.was_in_force(revision, digest)
+        repeats = digest is not None and self.was_in_force(revision, digest, former)
         self._repeats = digest is None or repeats
         if repeats and self._is_after_release(revision) and not self.decided:
             # The peer did not know what was in force.
--- a/godwitthread/gateway/former_configuration.py
+++ b/godwitthread/gateway/former_configuration.py
@@ -64,9 +64,9 @@
         """Return rows with the configuration in force; the one in the store may be malformed."""
         return {**rows, self._row.key: self._row} if self._row else dict(rows)
 
-    def was_in_force(self, row: StoredRow) -> bool:
-        """Return whether the content of a row was in force before its era."""
-        return self._decision.was_in_force(row.revision, _digest(row))
+    def was_in_force(self, row: StoredRow, former: StoredRow) -> bool:
+        """Return whether the content of a row was in force before its era, given a former row."""
+        return self._decision.was_in_force(row.revision, _digest(row), former.revision)
 
     def is_released(self, row: StoredRow) -> bool:
         """Return whether a row holds although a higher version was in force before the restore."""
@@ -117,7 +117,7 @@
         if self._decision.needs_examination(row.revision):
             cfg = decode_row(self._schema.configuration, row.value or b'')
             digest = None if isinstance(cfg, Undecodable) else _digest(row)
-            self._decision.examine(now_ms, row.revision, digest)
+            self._decision.examine(now_ms, row.revision, digest, former.rows[key].revision)
             if digest is not None:
                 content = KnownContent(row.revision, digest)
                 self._waiting = [*self._waiting[1 - MAX_KNOWN :], content]
--- a/godwitthread/gateway/former_tables.py
+++ b/godwitthread/gateway/former_tables.py
@@ -182,7 +182,7 @@
         version, known = self._version(current), self._version(former)
         if version < known:
             return math.inf
-        repeats = current is not None and self.configuration.was_in_force(current)
+        repeats = current is not None and self.configuration.was_in_force(current, former)
         is_other = current is not None and current.value != former.value
         return math.inf if version == known and is_other and repeats else 0
 
--- a/tests/test_gateway/test_former_configuration.py
+++ b/tests/test_gateway/test_former_configuration.py
@@ -159,6 +159,17 @@
     assert in_force(made, RELEASE_DELAY_MS) == (10, 'k10')
 
 
+def test_an_instance_that_missed_a_release_and_a_restore_follows_its_peers():
+    """Guard against one instance that keeps a version that has ended, with current evidence."""
+    known, late = view_of(RESTORED, NEW), view_of(written(1, 300, 9, 'k9'))
+    assert in_force(known, RELEASE_DELAY_MS) == (8, 'new')
+    again = written(3, 286, 8, 'new', revision=290)
+    known.view.replace('op', again)
+    late.view.replace('op', again)
+    tell(known, late)
+    assert in_force(late, RELEASE_DELAY_MS) == in_force(known) == (8, 'new')
+
+
 @pytest.mark.parametrize('value', [b'', b'\x91\x91\x01', b'\xc1', None])
 def test_malformed_contents_of_a_peer_are_ignored(value):
     """Guard against a peer that keeps an instance from learning what holds."""
