Take the other former rows of a peer with its release

Cause: a message that tells of a release was taken for the release alone if its version was of the same era as that of the known rows. An instance without any, while the store counts as of era 0 before its first restore, or with those of an older copy, dropped the other rows, so that an evacuation that the store had lost did not hold there.

Change: the message counts as the release alone only if its rows are from no newer copy.

Measured: three of the four cases of the new test fail without the change; the fourth, a start after a later restore, holds on both.

--- a/godwitthread/gateway/former_configuration.py
+++ b/godwitthread/gateway/former_configuration.py
@@ -103,9 +103,9 @@
     def is_news_of_release(self, revision: int, known: int) -> bool:
         """Return whether former rows differ from known ones only in a released configuration.
 
-        The other rows of the peer may have ended here.
+        The other rows of the peer may have ended here, unless they are from a newer copy.
         """
-        return revision & RELEASED > known & RELEASED and era_of(revision) == era_of(known)
+        return revision & RELEASED > known & RELEASED and revision - RELEASED <= known
 
     def release(self, former: FormerRows[StoredRow], rows: Mapping[str, StoredRow]) -> bool:
         """Drop the former configuration if that in the store replaces it; return whether it did."""
--- a/tests/test_gateway/test_former_configuration.py
+++ b/tests/test_gateway/test_former_configuration.py
@@ -124,6 +124,20 @@
     assert (known.view.evacuated, other.view.evacuated) == ({'stord'}, set())
 
 
+@pytest.mark.parametrize('era', [1, 2])
+@pytest.mark.parametrize('has_copy', [False, True])
+def test_the_release_of_a_peer_comes_with_rows_that_are_not_known(era, has_copy):
+    """Guard against an evacuation that does not hold where it was not known before a restore."""
+    before = content(era - 1, 300, {**configuration(9, 'k9'), 'evacuate/stord': b'{}'})
+    known = ViewClock(('op', before), ('op', written(era, 280, 7, 'k7', revision=FIRST)))
+    known.view.apply_changes('op', written(era, 286, 8, 'new'))
+    assert in_force(known, RELEASE_DELAY_MS) == (8, 'new')
+    copies = [('op', written(era - 1, 290, 9, 'k9'))] if has_copy else []
+    other = ViewClock(*copies, ('op', written(era, 286, 8, 'new')))
+    tell(known, other)
+    assert (in_force(other), other.view.evacuated) == ((8, 'new'), {'stord'})
+
+
 def test_a_repetition_does_not_replace_the_same_version_of_a_later_time():
     """Guard against an instance that starts with an older content of the version in force."""
     again = written(3, 300, 9, 'k9')
