--- a/godwitthread/gateway/former_tables.py
+++ b/godwitthread/gateway/former_tables.py
@@ -8,7 +8,11 @@
 from godwitthread.core.former_rows import FormerRows
 from godwitthread.core.store_version import counter_of, era_of
 from godwitthread.core.table_freshness import TableContent
-from godwitthread.gateway.former_configuration import FormerConfiguration, is_news_of_release
+from godwitthread.gateway.former_configuration import (
+    RELEASED,
+    FormerConfiguration,
+    is_news_of_release,
+)
 from godwitthread.gateway.ports import StoredRow, StoredRows, Undecodable
 from godwitthread.gateway.store_rows import (
     PEER_TABLE,
@@ -137,17 +141,18 @@
         former, now_ms = self._tables[table], self._clock.now_ms()
         if snapshot.revision <= former.revision:
             return None
-        released = False
+        revision = snapshot.revision
         if table == self._schema.operator_table:
             released = self.configuration.take_peer_rows(rows, revisions[table])
-        if not is_news_of_release(snapshot.revision, former.revision):
-            former.add(now_ms, snapshot.revision, rows, tables[table])
-        elif released:
-            # The other rows of the peer may have ended here.
-            former.revision = snapshot.revision
-        else:
-            # A build that does not know releases has dropped the row that tells of it.
+            if revision & RELEASED and not released:
+                # A build that does not know releases has dropped the row that tells of it.
+                revision -= RELEASED
+        if revision <= former.revision:
             return None
+        if is_news_of_release(revision, former.revision):
+            former.revision = revision
+        else:
+            former.add(now_ms, revision, rows, tables[table])
         self._digests[table] = digest_of(rows)
         if table == self._schema.operator_table and self.configuration.released_rows():
             self._digests[table] = self.configuration.released_digest()
@@ -193,7 +198,7 @@
         version, known = self._version(current), self._version(former)
         if version < known:
             return math.inf
-        repeats = current is not None and self.configuration.was_in_force(current)
+        repeats = current is not None and self.configuration.was_in_force(current, former)
         is_other = current is not None and current.value != former.value
         return math.inf if version == known and is_other and repeats else 0
 
--- a/tests/test_gateway/test_former_configuration.py
+++ b/tests/test_gateway/test_former_configuration.py
@@ -127,6 +127,20 @@
     assert (known.view.evacuated, other.view.evacuated) == ({'stord'}, set())
 
 
+@pytest.mark.parametrize('era', [1, 2])
+@pytest.mark.parametrize('has_copy', [False, True])
+def test_the_release_of_a_peer_comes_with_rows_that_are_not_known(era, has_copy):
+    """Guard against an evacuation that does not hold where it was not known before a restore."""
+    before = content(era - 1, 300, {**configuration(9, 'k9'), 'evacuate/stord': b'{}'})
+    known = ViewClock(('op', before), ('op', written(era, 280, 7, 'k7', revision=FIRST)))
+    known.view.apply_changes('op', written(era, 286, 8, 'new'))
+    assert in_force(known, RELEASE_DELAY_MS) == (8, 'new')
+    copies = [('op', written(era - 1, 290, 9, 'k9'))] if has_copy else []
+    other = ViewClock(*copies, ('op', written(era, 286, 8, 'new')))
+    tell(known, other)
+    assert (in_force(other), other.view.evacuated) == ((8, 'new'), {'stord'})
+
+
 def test_a_repetition_does_not_replace_the_same_version_of_a_later_time():
     """Guard against an instance that starts with an older content of the version in force."""
     again = written(3, 300, 9, 'k9')
@@ -154,6 +168,25 @@
     assert in_force(known, RELEASE_DELAY_MS) == KEPT
 
 
+def test_a_version_that_was_replaced_while_it_waited_does_not_come_back():
+    """Guard against all instances going back when it is written again after a second restore."""
+    made = view_of(RESTORED, NEW, written(2, 287, 10, 'k10'))
+    made.view.replace('op', written(3, 280, 7, 'k7'))
+    made.view.apply_changes('op', written(3, 288, 8, 'new'))
+    assert in_force(made, RELEASE_DELAY_MS) == (10, 'k10')
+
+
+def test_an_instance_that_missed_a_release_and_a_restore_follows_its_peers():
+    """Guard against one instance that keeps a version that has ended, with current evidence."""
+    known, late = view_of(RESTORED, NEW), view_of(written(1, 300, 9, 'k9'))
+    assert in_force(known, RELEASE_DELAY_MS) == (8, 'new')
+    again = written(3, 286, 8, 'new', revision=290)
+    known.view.replace('op', again)
+    late.view.replace('op', again)
+    tell(known, late)
+    assert in_force(late, RELEASE_DELAY_MS) == in_force(known) == (8, 'new')
+
+
 @pytest.mark.parametrize('value', [b'', b'\x91\x91\x01', b'\xc1', None])
 def test_malformed_contents_of_a_peer_are_ignored(value):
     """Guard against a peer that keeps an instance from learning what holds."""
