Serve no caller by a restored configuration before peers are reached

Cause: an instance serves callers from its first read on, and learns from its peers only after it has reached them which configuration holds. Change: beyond era 0, callers of an instance that has not been informed yet wait for it like for a first configuration. Result: test_an_instance_that_starts_serves_no_caller_by_what_was_restored failed before and passes.

--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -86,7 +86,6 @@
         self._guard = guard
         self._ports = ports
         self._minority_since_ms = 0
-        self._informed = False
         self.view = StoreView(ports.schema, clock, log, self._on_store_change)
         self.store_sync = StoreSync(
             peer.name,
@@ -169,7 +168,7 @@
         )
         self.sessions = Sessions(
             clock,
-            lambda: self.view.configuration,
+            self._configuration_for_callers,
             self.router.run,
             log,
             metrics.observe,
@@ -237,17 +236,9 @@
             and self.view.configuration is not None
             and self.start_gate.reached
             and self.ownership_manager.has_majority()
-            and self._is_informed()
+            and self.store_sync.is_informed()
         )
 
-    def _is_informed(self) -> bool:
-        """Return whether the copies are good enough to be ready for the first time."""
-        # An instance that has been ready goes on with the rows that it had before a restore, and
-        # without evidence that its copies are current.
-        sync = self.store_sync
-        self._informed = self._informed or not (sync.lacks_former_rows() or sync.lacks_evidence())
-        return self._informed
-
     def heartbeat_status(self) -> HeartbeatStatus:
         """Return the status that peers receive with each heartbeat."""
         return HeartbeatStatus(self.leaving, self.start_gate.ready, self.duty.token)
@@ -458,6 +449,13 @@
 
     # Helpers
 
+    def _configuration_for_callers(self) -> Configuration | None:
+        """Return the configuration by which callers are served, None while there is none."""
+        # A restored store may have an older one than peers. A caller that comes before they are
+        # reached would be served by it, and be refused later on.
+        informed = self.start_gate.reached and self.store_sync.is_informed()
+        return self.view.configuration if informed or not self.view.store_era else None
+
     def _on_lease_granted(self, group: str) -> None:
         runner = self.runners.get(group)
         if runner is not None:
--- a/godwitthread/gateway/store_sync.py
+++ b/godwitthread/gateway/store_sync.py
@@ -75,6 +75,7 @@
     ) -> None:
         self.health = StoreHealth()
         self._begun_ms = clock.now_ms()
+        self._informed = False
         self._view = view
         self._clock = clock
         self._log = log
@@ -162,6 +163,13 @@
             self.evidence_age_ms(view.tables()[0]),
         )
 
+    def is_informed(self) -> bool:
+        """Return whether the copies are good enough to be ready for the first time."""
+        # An instance that has been ready goes on with the rows that it had before a restore, and
+        # without evidence that its copies are current.
+        self._informed = self._informed or not (self.lacks_former_rows() or self.lacks_evidence())
+        return self._informed
+
     def lacks_former_rows(self) -> bool:
         """Return whether a peer has rows that a restored store may lack, and this one has not."""
         now_ms = self._clock.now_ms()
--- a/tests/test_system/test_restored_store.py
+++ b/tests/test_system/test_restored_store.py
@@ -209,6 +209,24 @@
     assert [_in_force(node) for node in deployment.nodes] == [(4, 'orders')] * 11
 
 
+def test_an_instance_that_starts_serves_no_caller_by_what_was_restored(start):
+    """Guard against callers that are served before peers are reached, and refused later on."""
+    deployment = start(9)
+    for database in ('routes-db', 'orders-db'):
+        deployment.configure(databases=(database,), keys=('k1',))
+        eventlet.sleep(1)
+    deployment.store.restore(1_500)
+    deployment.start(9)
+    threads = []
+    for _ in range(200):
+        threads.append(eventlet.spawn(deployment.nodes[9].sessions.open, 'routes-db', 'k1'))
+        eventlet.sleep(0.01)
+    refusals = [thread.wait()[1] for thread in threads]
+    answers = {refusal.error if refusal else 'served' for refusal in refusals}
+    assert answers <= {'overloaded', 'route_unknown', 'stale_configuration'}
+    assert deployment.nodes[9].ready()
+
+
 def test_evacuations_end_at_once_after_a_restore(start):
     """Guard against an evacuation that holds since it was in force before, or is again."""
     deployment = start(9)
