Postpone callers that a configuration admits which is not adopted yet

Meanwhile callers whose route or key is new since the restore were refused for good, at all instances and with current evidence.

Change: such a caller gets stale_configuration, which it may return after. A caller that neither configuration admits is refused for good as before.

The new cases use an argument and an attribute that the former code lacks; that it refuses these callers follows from reading.

--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -176,6 +176,7 @@
             guard,
             RefusalReports(self.store_sync.configuration_basis, log, metrics),
             self.store_sync.evidence.is_refusal_final,
+            lambda: self.view.not_adopted,
         )
         self.calls = self._call_handlers()
         self._threads: list[Any] = []
--- a/godwitthread/gateway/sessions.py
+++ b/godwitthread/gateway/sessions.py
@@ -57,6 +57,7 @@
         guard: CallerGuard | None = None,
         reports: RefusalReports | None = None,
         is_refusal_final: Callable[[], bool] = lambda: True,
+        not_adopted: Callable[[], Configuration | None] = lambda: None,
     ) -> None:
         self.clock = clock
         self.log = log
@@ -70,6 +71,8 @@
         #: Returns whether the configuration is known to have what a caller that arrives now must
         #: find in force; may wait for the answer to a call, and renew the configuration meanwhile.
         self._is_refusal_final = is_refusal_final
+        #: Returns the configuration in the store if one from before a restore holds in its place.
+        self._not_adopted = not_adopted
         self.limits = guard.limits if guard else CallerLimits()
         self._configuration = configuration
         self._numbers = itertools.count(1)
@@ -101,18 +104,7 @@
 
     def resolve(self, database: str, key: str) -> tuple[Route | None, str, Result | None]:
         """Return the current route and organisation, or the reason for a refusal."""
-        cfg = self._configuration()
-        if cfg is None:
-            return None, '', failure(ErrorKind.OVERLOADED, 'no configuration available yet', 500)
-        route = cfg.routes.get(database)
-        if route is None:
-            return None, '', failure(ErrorKind.ROUTE_UNKNOWN, 'unknown database')
-        organisation: Organisation | None = cfg.keys.get(key)
-        if organisation is not None:
-            return route, organisation.name, None
-        if route.open:
-            return route, ANONYMOUS, None
-        return None, '', failure(ErrorKind.KEY_INVALID, 'unknown key')
+        return _resolve(self._configuration(), database, key)
 
     def _resolve_by_evidence(
         self, database: str, key: str
@@ -120,14 +112,17 @@
         """Resolve a caller; refuse it for good only by a configuration that is known to be current.
 
         Otherwise routes and keys would be refused that were added while no answer of the store
-        arrived.
+        arrived, or since a restore, by a configuration that does not hold yet.
         """
         found = self.resolve(database, key)
         if not _is_final(found[2]):
             return found
         known = self._is_refusal_final()
         found = self.resolve(database, key)
-        if known or not _is_final(found[2]):
+        if not _is_final(found[2]):
+            return found
+        awaited = self._not_adopted()
+        if known and (awaited is None or _is_final(_resolve(awaited, database, key)[2])):
             return found
         return None, '', failure(ErrorKind.STALE_CONFIGURATION, STALE_MESSAGE, EVIDENCE_RETRY_MS)
 
@@ -185,3 +180,19 @@
 
 def _is_final(refusal: Result | None) -> bool:
     return refusal is not None and refusal.error in FINAL_ERRORS
+
+
+def _resolve(
+    cfg: Configuration | None, database: str, key: str
+) -> tuple[Route | None, str, Result | None]:
+    if cfg is None:
+        return None, '', failure(ErrorKind.OVERLOADED, 'no configuration available yet', 500)
+    route = cfg.routes.get(database)
+    if route is None:
+        return None, '', failure(ErrorKind.ROUTE_UNKNOWN, 'unknown database')
+    organisation: Organisation | None = cfg.keys.get(key)
+    if organisation is not None:
+        return route, organisation.name, None
+    if route.open:
+        return route, ANONYMOUS, None
+    return None, '', failure(ErrorKind.KEY_INVALID, 'unknown key')
--- a/godwitthread/gateway/store_view.py
+++ b/godwitthread/gateway/store_view.py
@@ -82,6 +82,8 @@
         self.former = FormerTables(schema, clock, log)
         #: Row of the configuration in force.
         self.configuration_origin = ConfigurationOrigin(0, '')
+        #: Configuration in the store that is not the one in force, None if it is in force.
+        self.not_adopted: Configuration | None = None
         #: Version of the last row that was reported as not adopted.
         self._not_adopted = 0
         #: Number of answers of the store that were older than the copy of their table.
@@ -309,12 +311,16 @@
         """Report a configuration of the store that is not newer than the one in force."""
         row = self._tables[self._schema.operator_table].get(self._schema.configuration_key)
         origin, known = self.configuration_origin, self.configuration
+        if row is None or known is None or row.revision == origin.revision:
+            self._not_adopted, self.not_adopted = 0, None
+            return
         # The same row comes again with each change of another row.
-        if row is None or known is None or row.revision in (origin.revision, self._not_adopted):
+        if row.revision == self._not_adopted:
             return
-        self._not_adopted = row.revision
+        self._not_adopted, self.not_adopted = row.revision, None
         cfg = decode_row(self._schema.configuration, row.value or b'')
         if not isinstance(cfg, Undecodable):
+            self.not_adopted = cfg
             self._log.event(
                 'configuration_not_adopted',
                 version=cfg.version,
--- a/tests/test_gateway/test_refusal_reports.py
+++ b/tests/test_gateway/test_refusal_reports.py
@@ -11,8 +11,8 @@
 from godwitthread.gateway.logs import Log
 from godwitthread.gateway.metrics import Metrics
 from godwitthread.gateway.refusal_reports import ConfigurationBasis, RefusalReports
-from godwitthread.gateway.sessions import Sessions
-from tests.test_gateway.fakes import configuration
+from godwitthread.gateway.sessions import FINAL_ERRORS, Sessions
+from tests.test_gateway.fakes import configuration, quiet_log
 from tests.test_gateway.restored_content import RESTORED, content, restored
 from tests.test_gateway.restored_content import configuration as configuration_row
 from tests.test_gateway.test_sessions import statement
@@ -52,6 +52,29 @@
         each for each in made.view._log._events.since() if each['event'].endswith('not_adopted')
     ]
     assert [(each['version'], each['version_in_force']) for each in found] == [(7, 9)]
+    assert made.view.not_adopted.version == 7
+    made.view.apply_changes('op', content(2, RESTORED + 2, configuration_row(9)))
+    assert made.view.not_adopted is None
+
+
+@pytest.mark.parametrize(('database', 'key'), [('nowhere', 'k1'), ('orders-db', 'k2')])
+def test_a_caller_of_a_configuration_that_is_not_adopted_yet_is_postponed(database, key):
+    """Guard against a final refusal, with evidence, of what a restored store has confirmed."""
+    clock, awaited = Clock(), [None]
+    sessions = Sessions(
+        clock,
+        configuration,
+        lambda *_: None,
+        quiet_log(clock),
+        lambda *_: None,
+        not_adopted=lambda: awaited[0],
+    )
+    assert sessions.open(database, key)[1].error in FINAL_ERRORS
+    awaited[0] = configuration(0, keys=())
+    assert sessions.open(database, key)[1].error in FINAL_ERRORS
+    route = configuration().routes['orders-db']
+    awaited[0] = configuration(0, keys=(key,), routes={database: route})
+    assert sessions.open(database, key)[1].error == 'stale_configuration'
 
 
 def test_a_refusal_without_evidence_is_postponed_and_reported():
