Keep the former configuration in force when a peer's is lower

Cause: rows that a peer has kept replace those kept here. If the peer has released a lower configuration in an era that this instance has missed, and the store has lost it again, the lower one took the place of the former row, but not that of the configuration in force. Once it was written again no former row was left, and the one in force was never compared again.

Measured: the second case of the test fails without the change.

--- a/godwitthread/gateway/former_tables.py
+++ b/godwitthread/gateway/former_tables.py
@@ -139,6 +139,10 @@
             return None
         if table == self._schema.operator_table:
             self.configuration.take_peer_rows(rows, revisions[table])
+            key = self._schema.configuration_key
+            if self._version(rows.get(key)) < self._version(former.rows.get(key)):
+                # The configuration that holds here stays among the rows until it is released.
+                rows.pop(key, None)
         if self.configuration.is_news_of_release(snapshot.revision, former.revision):
             former.revision = snapshot.revision
         else:
--- a/tests/test_gateway/test_former_configuration.py
+++ b/tests/test_gateway/test_former_configuration.py
@@ -173,14 +173,17 @@
     assert in_force(made, RELEASE_DELAY_MS) == (10, 'k10')
 
 
-def test_an_instance_that_missed_a_release_and_a_restore_follows_its_peers():
+@pytest.mark.parametrize('lost', [False, True])
+def test_an_instance_that_missed_a_release_and_a_restore_follows_its_peers(lost):
     """Guard against one instance that keeps a version that has ended, with current evidence."""
     known, late = view_of(RESTORED, NEW), view_of(written(1, 300, 9, 'k9'))
     assert in_force(known, RELEASE_DELAY_MS) == (8, 'new')
     again = written(3, 286, 8, 'new', revision=290)
-    known.view.replace('op', again)
-    late.view.replace('op', again)
+    for each in (known, late):
+        each.view.replace('op', written(3, 280, 7, 'k7', revision=FIRST) if lost else again)
     tell(known, late)
+    for each in (known, late):
+        each.view.apply_changes('op', again)
     assert in_force(late, RELEASE_DELAY_MS) == in_force(known) == (8, 'new')
 
 
