--- a/godwitthread/gateway/former_tables.py
+++ b/godwitthread/gateway/former_tables.py
@@ -147,6 +147,10 @@
             if revision & RELEASED and not released:
                 # A build that does not know releases has dropped the row that tells of it.
                 revision -= RELEASED
+            key = self._schema.configuration_key
+            if self._version(rows.get(key)) < self._version(former.rows.get(key)):
+                # The configuration that holds here stays among the rows until it is released.
+                rows.pop(key, None)
         if revision <= former.revision:
             return None
         if is_news_of_release(revision, former.revision):
