Wait for the reports of peers that reach a starting instance after a restore

Cause: the restored store lacked the entries of the other instances. The restarted one knew of no peer, waited for none and was ready alone. Change: beyond era 0, an instance that starts is informed only once it knows each instance that has a link to it, and each peer that it reaches has reported its tables.

--- a/godwitthread/gateway/node.py
+++ b/godwitthread/gateway/node.py
@@ -95,6 +95,7 @@
             log,
             self._nearby_and_all_links,
             ReaderRole(self._reads_store, lambda: self.ownership_manager.rank('store')),
+            lambda: {stream.peer_name for stream in self.inbound},
         )
         self.rate_limiter = RateLimiter(
             clock,
@@ -454,8 +455,8 @@
         """Return the configuration by which callers are served, None while there is none."""
         # A restored store may have an older one than peers. A caller that comes before they are
         # reached would be served by it, and be refused later on.
-        informed = self.start_gate.reached and self.store_sync.is_informed()
-        return self.view.configuration if informed or not self.view.store_era else None
+        usable = not self.view.store_era or self.store_sync.informed or self.ready()
+        return self.view.configuration if usable else None
 
     def _on_lease_granted(self, group: str) -> None:
         runner = self.runners.get(group)
--- a/godwitthread/gateway/store_sync.py
+++ b/godwitthread/gateway/store_sync.py
@@ -72,10 +72,15 @@
         log: Log,
         links: Callable[[], tuple[list[Link], list[Link]]],
         role: ReaderRole,
+        inbound: Callable[[], set[str]] = set,
     ) -> None:
         self.health = StoreHealth()
         self._begun_ms = clock.now_ms()
-        self._informed = False
+        #: Whether the copies were good enough for this instance to be ready.
+        self.informed = False
+        self._links = links
+        #: Returns the names of the instances that have a link to this one.
+        self._inbound = inbound
         self._view = view
         self._clock = clock
         self._log = log
@@ -167,18 +172,29 @@
         """Return whether the copies are good enough to be ready for the first time."""
         # An instance that has been ready goes on with the rows that it had before a restore, and
         # without evidence that its copies are current.
-        self._informed = self._informed or not (self.lacks_former_rows() or self.lacks_evidence())
-        return self._informed
+        self.informed = self.informed or not (self.lacks_former_rows() or self.lacks_evidence())
+        return self.informed
 
     def lacks_former_rows(self) -> bool:
         """Return whether a peer has rows that a restored store may lack, and this one has not."""
         now_ms = self._clock.now_ms()
         self._compare_eras()
-        return any(
+        return self._awaits_reports() or any(
             freshness.newer_peers() and freshness.behind_ms(now_ms) < FORMER_ROWS_WAIT_MS
             for freshness in map(self._tables.__getitem__, self._view.former.names())
         )
 
+    def _awaits_reports(self) -> bool:
+        """Return whether a peer that is reached has not reported yet what a restore took back."""
+        if not self._view.store_era or self._clock.now_ms() - self._begun_ms >= EVIDENCE_WAIT_MS:
+            return False
+        # A restored store may lack the entries of other instances, which then reach this one first.
+        if not self._inbound() <= self._view.peers.keys() | {''}:
+            return True
+        freshness = self._tables[self._watchers[0].table]
+        _, links = self._links()
+        return any(freshness.reported_content(link.peer.name) is None for link in links)
+
     def lacks_evidence(self) -> bool:
         """Return whether the store answers, but has not confirmed the configuration yet."""
         watcher = self._watchers[0]
--- a/tests/test_system/test_restored_store.py
+++ b/tests/test_system/test_restored_store.py
@@ -209,22 +209,34 @@
     assert [_in_force(node) for node in deployment.nodes] == [(4, 'orders')] * 11
 
 
-def test_an_instance_that_starts_serves_no_caller_by_what_was_restored(start):
-    """Guard against callers that are served before peers are reached, and refused later on."""
+@pytest.mark.parametrize('entries_lost', [False, True])
+def test_an_instance_that_starts_answers_no_caller_by_what_was_restored(start, entries_lost):
+    """Guard against answers of an instance that has not heard from its peers, or knows of none."""
     deployment = start(9)
     for database in ('routes-db', 'orders-db'):
         deployment.configure(databases=(database,), keys=('k1',))
         eventlet.sleep(1)
+    ended = deployment.nodes[0]
+    deployment.remove(ended, announced=False)
     deployment.store.restore(1_500)
-    deployment.start(9)
+    if entries_lost:
+        # Those that run can't write their entries again yet.
+        deployment.mute(deployment.nodes)
+        for node in deployment.nodes:
+            deployment.store.drop('instances', node.peer.name)
+    deployment.start(0, ended.peer)
     threads = []
-    for _ in range(200):
-        threads.append(eventlet.spawn(deployment.nodes[9].sessions.open, 'routes-db', 'k1'))
+    for number in range(300):
+        if number == 150:
+            deployment.unmute()
+        open_session = deployment.nodes[-1].sessions.open
+        threads += [eventlet.spawn(open_session, name, 'k1') for name in ('routes-db', 'orders-db')]
         eventlet.sleep(0.01)
     refusals = [thread.wait()[1] for thread in threads]
-    answers = {refusal.error if refusal else 'served' for refusal in refusals}
-    assert answers <= {'overloaded', 'route_unknown', 'stale_configuration'}
-    assert deployment.nodes[9].ready()
+    answers = [refusal.error if refusal else 'served' for refusal in refusals]
+    assert set(answers[::2]) <= {'overloaded', 'route_unknown', 'stale_configuration'}
+    assert set(answers[1::2]) <= {'overloaded', 'stale_configuration', 'served'}
+    assert answers[-1] == 'served'
 
 
 def test_evacuations_end_at_once_after_a_restore(start):
