Take no evidence from a peer for a copy of a later era

Cause: evidence of a peer for older content holds for newer content as well, and a copy from before a restore counted as older by its version. But the copy of the restored store may lack what the peer has, and with it a route or key that was acknowledged; an instance that has just started or come back would refuse it for good until it has the rows from before the restore.

Change: evidence counts only between copies of one era.

--- a/godwitthread/core/table_freshness.py
+++ b/godwitthread/core/table_freshness.py
@@ -116,10 +116,12 @@
             self._newer.add(peer)
         else:
             self._newer.discard(peer)
-        # Evidence for the same or for older content holds for the own copy as well.
-        same = content.has_rows_of(self._content)
-        version = self._content.revision if same else content.revision
-        self._state.peer_summary(echo_ms, version, report.evidence_age_ms, None)
+        # Evidence for the same or for older content holds for the own copy as well. Content from
+        # before a restore is not older: it may have what the restored store lacks.
+        if era_of(content.revision) == era_of(self._content.revision):
+            same = content.has_rows_of(self._content)
+            version = self._content.revision if same else content.revision
+            self._state.peer_summary(echo_ms, version, report.evidence_age_ms, None)
         if report.evidence_age_ms is not None:
             evidence_ms = echo_ms - report.evidence_age_ms
             self._peer_evidence_ms = max(evidence_ms, self._peer_evidence_ms or evidence_ms)
--- a/tests/test_gateway/test_table_freshness.py
+++ b/tests/test_gateway/test_table_freshness.py
@@ -67,6 +67,14 @@
     assert call.is_dead(FEED_GRACE_MS, restored, behind=False)
 
 
+def test_evidence_for_content_from_before_a_restore_is_none_for_a_restored_copy():
+    """Guard against final refusals by a copy that lacks what the store has lost."""
+    own = TableFreshness()
+    own.update_content(TableContent(combine(1, OLD.revision - 5), 7))
+    own.peer_reported('b', report(OLD, 700), 5_000)
+    assert own.evidence_ms is None
+
+
 def test_a_peer_that_has_nothing_newer_is_not_asked_again():
     """Guard against requests without end to a build that does not know of eras."""
     own = freshness(OLD)
