Move the operator's rows of a peer into a function of their own

Change: no change of behaviour. Result: the tests of former rows, former configurations and the view pass.

--- a/godwitthread/gateway/former_tables.py
+++ b/godwitthread/gateway/former_tables.py
@@ -143,14 +143,7 @@
             return None
         revision = snapshot.revision
         if table == self._schema.operator_table:
-            released = self.configuration.take_peer_rows(rows, revisions[table])
-            if revision & RELEASED and not released:
-                # A build that does not know releases has dropped the row that tells of it.
-                revision -= RELEASED
-            key = self._schema.configuration_key
-            if self._version(rows.get(key)) < self._version(former.rows.get(key)):
-                # The configuration that holds here stays among the rows until it is released.
-                rows.pop(key, None)
+            revision = self._take_operator_rows(rows, revision, revisions[table])
         if revision <= former.revision:
             return None
         if is_news_of_release(revision, former.revision):
@@ -186,6 +179,19 @@
         if table in self._tables and key != self._schema.configuration_key:
             self._tables[table].drop(key)
 
+    def _take_operator_rows(
+        self, rows: dict[str, StoredRow], revision: int, store_revision: int
+    ) -> int:
+        """Leave only the rows of a peer that count; return the version that is known by them."""
+        released = self.configuration.take_peer_rows(rows, store_revision)
+        key = self._schema.configuration_key
+        held = self._tables[self._schema.operator_table].rows.get(key)
+        if self._version(rows.get(key)) < self._version(held):
+            # The configuration that holds here stays among the rows until it is released.
+            rows.pop(key, None)
+        # A build that does not know releases drops the row that tells of one, but not its version.
+        return revision - RELEASED if revision & RELEASED and not released else revision
+
     def _rows_for_peers(self, table: str) -> tuple[StoredRow, ...]:
         rows = tuple(self._tables[table].rows.values())
         if table != self._schema.operator_table:
