--- a/review/kit2/case.py
+++ b/review/kit2/case.py
@@ -45,4 +45,3 @@
         return NOT_RUN
     finally:
         deployment.close()
-        record.note(f'logs of the processes: {deployment.folder.name}')
--- a/review/kit2/deployment.py
+++ b/review/kit2/deployment.py
@@ -6,6 +6,7 @@
 import json
 import os
 import shlex
+import shutil
 import socket
 import subprocess
 import sys
@@ -234,11 +235,13 @@
         }
 
     def close(self) -> None:
-        """Kill the processes that were started here."""
+        """Kill the processes that were started here, and remove their settings and logs."""
         for process in self.processes.values():
             if process.poll() is None:
                 process.kill()
             process.wait()
+        if 'KEEP_LOGS' not in os.environ:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
     def _promote(self, group: str, member: str) -> bool:
         return self.groups[group].promote(member)
@@ -313,7 +316,9 @@
         prefix = f'127.{100 + (os.getpid() + number) % 100}'
         claim = socket.socket()
         try:
-            claim.bind((f'{prefix}.9.9', 8400))
+            # The project's own process tests claim their addresses in the same way.
+            claim.bind((f'{prefix}.9.1', 8400))
+            claim.listen()
         except OSError:
             claim.close()
             continue
